--- a/cmake/package.cmake
+++ b/cmake/package.cmake
@@ -18,7 +18,7 @@
     target_link_libraries(fuchsialoom_${name} PUBLIC ${ARG_DEPENDS} Threads::Threads)
 
     file(GLOB tests CONFIGURE_DEPENDS unittests/*.cpp)
-    if(tests)
+    if(tests AND NOT FUCHSIALOOM_DAEMON_ONLY)
         add_executable(${name}_tests ${tests})
         target_compile_options(${name}_tests PRIVATE ${FUCHSIALOOM_WARNINGS})
         target_compile_definitions(${name}_tests PRIVATE FUCHSIALOOM_SOURCE_DIR="${CMAKE_SOURCE_DIR}")
--- /dev/null
+++ b/packages/gateway/include/fuchsialoom/gateway/gateway.h
@@ -0,0 +1,175 @@
+/// \file
+/// The request path of one VM: admits requests by the configuration in force, queues them, chooses their
+/// targets and keeps what its requests share. Each request is an `exchange`. One event loop's thread
+/// alone uses it.
+#pragma once
+
+#include "fuchsialoom/core/admission_queue.h"
+#include "fuchsialoom/gateway/decision_log.h"
+#include "fuchsialoom/gateway/link_pool.h"
+#include "fuchsialoom/gateway/request_facts.h"
+#include "fuchsialoom/gateway/retry_rules.h"
+#include "fuchsialoom/gateway/routes.h"
+#include "fuchsialoom/gateway/target_pool.h"
+#include "fuchsialoom/http/caller_link.h"
+
+#include <asio.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+
+namespace fuchsialoom
+{
+
+class exchange;
+
+/// Why a request is refused, as not run.
+enum class refusal {
+    NotConfigured, ///< no configuration is known yet
+    NoTarget,
+    NotResident,
+    QueueFull, ///< it can't start in time, by the rate at which the queue drains
+    TimedOut, ///< its time ran out in the queue
+    TargetsRefused,
+    Draining,
+};
+
+template<>
+struct name_table<refusal>
+{
+    static constexpr auto entries = std::to_array<enum_name<refusal>>({
+        {refusal::NotConfigured, "not-configured"},
+        {refusal::NoTarget, "no-target"},
+        {refusal::NotResident, "not-resident"},
+        {refusal::QueueFull, "queue-full"},
+        {refusal::TimedOut, "timed-out"},
+        {refusal::TargetsRefused, "targets-refused"},
+        {refusal::Draining, "draining"},
+    });
+};
+
+struct gateway_options
+{
+    vm_id vm;
+    domain_id domain;
+    shared_budget::limits retries;
+    std::uint64_t seed = 1; ///< of the choices between equals
+};
+
+/// What a VM's requests ask for, since its start; rates are made from differences.
+struct model_demand
+{
+    std::uint64_t arrivals = 0;
+    std::uint32_t waiting = 0;
+    std::uint32_t running = 0;
+};
+
+/// An adapter that requests wait for.
+struct wanted_adapter
+{
+    service_id service;
+    model_id model;
+    adapter_id adapter;
+
+    friend auto operator<=>(const wanted_adapter &, const wanted_adapter &) = default;
+};
+
+struct gateway_counters
+{
+    std::uint64_t requests = 0;
+    std::uint64_t answered = 0;
+    std::uint64_t refused = 0;
+    std::uint64_t failed = 0;
+    std::uint64_t abandoned = 0;
+    std::uint64_t repeats = 0;
+};
+
+class gateway
+{
+public:
+    gateway(asio::io_context &loop, gateway_options options, dialect_calls dialect, decision_log &log);
+    ~gateway();
+
+    /// A whole request came on \p caller.
+    void submit(const std::shared_ptr<caller_link> &caller, received_request request);
+
+    /// An older version than the one in force changes nothing. \return whether it is in force now.
+    bool configure(gateway_configuration configuration);
+    bool isConfigured() const
+    {
+        return m_configuration.has_value();
+    }
+    const gateway_configuration &configuration() const
+    {
+        return *m_configuration;
+    }
+    const caller_limits &limits() const;
+
+    target_pool &pool()
+    {
+        return m_pool;
+    }
+
+    /// Something changed that may let queued requests go.
+    void pump();
+
+    void setLiveVms(std::size_t live);
+
+    /// Called when a request waits for an adapter that no target with room holds.
+    void onWantedAdapter(std::function<void(const wanted_adapter &)> callback)
+    {
+        m_onWantedAdapter = std::move(callback);
+    }
+
+    std::map<model_id, model_demand> demand() const
+    {
+        return m_demand;
+    }
+    const gateway_counters &counters() const
+    {
+        return m_counters;
+    }
+    std::size_t openRequests() const
+    {
+        return m_open;
+    }
+
+private:
+    friend class exchange;
+
+    void enqueue(const std::shared_ptr<exchange> &one);
+    void forget(exchange &one);
+    bool tryDispatch(exchange &one);
+    void refuseUnreachable(instant now);
+    void armQueueTimer();
+    shared_budget &budgetOf(const service_id &service);
+
+    asio::io_context &m_loop;
+    gateway_options m_options;
+    dialect_calls m_dialect;
+    decision_log &m_log;
+    std::optional<gateway_configuration> m_configuration;
+    route_table m_routes;
+    target_pool m_pool;
+    link_pool m_links;
+    admission_queue m_queue;
+    std::map<request_id, std::shared_ptr<exchange>> m_queued; ///< by the serial that the queue knows
+    std::map<service_id, shared_budget> m_budgets;
+    std::map<model_id, model_demand> m_demand;
+    std::function<void(const wanted_adapter &)> m_onWantedAdapter;
+    asio::steady_timer m_queueTimer;
+    bool m_queueTimerArmed = false;
+    bool m_pumping = false;
+    bool m_pumpAgain = false;
+    std::size_t m_liveVms = 1;
+    std::size_t m_open = 0;
+    std::uint64_t m_serial = 0;
+    std::mt19937_64 m_random;
+    gateway_counters m_counters;
+};
+
+} // namespace fuchsialoom
--- /dev/null
+++ b/packages/gateway/include/fuchsialoom/gateway/residency_keeper.h
@@ -0,0 +1,178 @@
+/// \file
+/// What the holder of the duty orders: adapters that requests wait for, and the models that a plan wants
+/// elsewhere. One order at a time for each engine, each under the condition of the engine's order count,
+/// so that an order carried out late can only land in the state that it was made for. Sans-I/O.
+///
+/// Why memory is never overcommitted: an order is made only from a report of the engine, and only if what
+/// the engine held then, with everything accepted since, leaves room for it. The engine carries it out
+/// only while its order count is the one of that state. An order without an answer is sent again
+/// unchanged until the count shows that one of the two was taken.
+#pragma once
+
+#include "fuchsialoom/core/wanted_placement.h"
+#include "fuchsialoom/gateway/decision_log.h"
+#include "fuchsialoom/gateway/peer_digest.h"
+#include "fuchsialoom/gateway/target_pool.h"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace fuchsialoom
+{
+
+/// An engine's own word of what it holds; as of some hundred milliseconds before it was asked.
+struct engine_report
+{
+    std::uint64_t orderCount = 0; ///< orders that it has accepted since its start
+    bool busy = false; ///< a model is being loaded or unloaded
+    std::vector<held_model> models;
+    std::uint32_t pendingAdapters = 0; ///< on their way to the engine
+    std::set<model_id> atHand; ///< models whose weights are in its memory or on its disk
+};
+
+struct residency_order
+{
+    target_id target;
+    endpoint address;
+    bool load = true; ///< else unload
+    model_id model;
+    adapter_id adapter; ///< empty: the model itself
+    std::uint64_t expected = 0; ///< order count under which alone it is carried out
+
+    friend bool operator==(const residency_order &, const residency_order &) = default;
+};
+
+enum class order_result {
+    Accepted,
+    AlreadySo, ///< it holds without an order
+    Conflict, ///< another order is under way, or the order count differs
+    Refused, ///< another process has the address, or the order makes no sense there
+    Unknown, ///< no answer: it may be carried out, or may be yet
+};
+
+template<>
+struct name_table<order_result>
+{
+    static constexpr auto entries = std::to_array<enum_name<order_result>>({
+        {order_result::Accepted, "accepted"},
+        {order_result::AlreadySo, "already-so"},
+        {order_result::Conflict, "conflict"},
+        {order_result::Refused, "refused"},
+        {order_result::Unknown, "unknown"},
+    });
+};
+
+/// What is to be sent now.
+struct residency_steps
+{
+    std::vector<residency_order> orders;
+    std::vector<target_id> reports; ///< engines to be asked for theirs
+    std::vector<residency_news> news; ///< for all VMs
+};
+
+/// What the weight store allows.
+struct load_limits
+{
+    milliseconds window{5000};
+    double excess = 1.0; ///< of the store's rate
+};
+
+class residency_keeper
+{
+public:
+    residency_keeper(load_limits limits, decision_log &log);
+
+    /// This VM took the duty over, or lost it: what was known of engines counts no more.
+    void reset();
+
+    void setTraits(const service_id &service, const engine_traits &traits);
+
+    /// Requests wait for an adapter.
+    void want(instant now, const adapter_want &want);
+    /// Requests named an adapter, so that it isn't the next to make way.
+    void used(instant now, const model_id &model, const adapter_id &adapter);
+
+    void setPlan(const service_id &service, wanted_placement plan);
+
+    void onReport(instant askedAt, instant now, const target_id &target, const engine_report &report);
+    void onReportFailed(instant now, const target_id &target);
+    void onOrdered(instant now, const residency_order &order, order_result result);
+
+    /// What to do now; \p pool tells which engines there are.
+    residency_steps step(instant now, const target_pool &pool);
+
+    /// When the latest order was handed out.
+    std::optional<instant> lastOrder() const
+    {
+        return m_lastOrder;
+    }
+    std::uint64_t orders() const
+    {
+        return m_orders;
+    }
+
+    /// What an engine holds by what this VM knows: its report, and what it ordered since.
+    const std::vector<held_model> *heldBy(const target_id &target) const;
+    bool isReported(const target_id &target) const;
+
+private:
+    struct engine
+    {
+        service_id service;
+        bool known = false; ///< a report was taken since the duty began or since doubt arose
+        bool asked = false; ///< a report is under way
+        std::uint64_t orderCount = 0;
+        bool busy = false;
+        std::vector<held_model> models;
+        std::set<model_id> atHand;
+        std::optional<residency_order> sent; ///< handed out, without an answer yet
+        std::optional<residency_order> loading; ///< accepted, its effect not yet reported
+        instant loadingSince{};
+        instant askAt{}; ///< the next report isn't asked for before
+        std::optional<residency_order> retiring; ///< an unload that waits for the news to spread
+        instant retireAt{};
+    };
+
+    struct due_news
+    {
+        instant at{};
+        residency_news news;
+    };
+
+    using adapter_key = std::pair<model_id, adapter_id>;
+
+    void syncEngines(const target_pool &pool);
+    void handOut(instant now, engine &at, residency_order order, residency_steps &steps);
+    void serveWants(instant now, const target_pool &pool, residency_steps &steps);
+    bool serveWant(instant now, const target_pool &pool, const adapter_want &want, residency_steps &steps);
+    void followPlan(instant now, const target_pool &pool, residency_steps &steps);
+    bool startLoad(instant now, const target_pool &pool, const wanted_load &load, residency_steps &steps);
+    bool makeRoom(instant now, const target_pool &pool, engine &at, const target_id &id, const wanted_target *wanted, residency_steps &steps);
+    void retire(instant now, const target_pool &pool, residency_steps &steps);
+    void askReports(instant now, residency_steps &steps);
+    void apply(engine &at, const residency_order &order);
+    void finishLoading(instant now, const target_id &id, engine &at);
+    bool mayStartLoad(instant now, const engine_traits &traits, double loadSeconds);
+    double megabytesOf(const engine &at, const engine_traits &traits) const;
+    std::size_t adaptersOf(const engine &at) const;
+    std::size_t certainCopies(const model_id &model, const target_id &except, const target_pool &pool) const;
+    const adapter_key *leastUsed(const engine &at) const;
+
+    load_limits m_limits;
+    decision_log &m_log;
+    std::map<service_id, engine_traits> m_traits;
+    std::map<target_id, engine> m_engines;
+    std::map<adapter_want, instant> m_wants; ///< and until when each holds
+    std::map<adapter_key, instant> m_used; ///< when each adapter was last asked for
+    std::map<service_id, wanted_placement> m_plans;
+    std::deque<instant> m_loadStarts; ///< of loads that may come from the weight store, oldest first
+    std::vector<due_news> m_due;
+    std::optional<instant> m_lastOrder;
+    std::uint64_t m_orders = 0;
+};
+
+} // namespace fuchsialoom
--- /dev/null
+++ b/packages/gateway/include/fuchsialoom/gateway/target_pool.h
@@ -0,0 +1,176 @@
+/// \file
+/// The targets as one VM knows them: what is listed, what they hold, what all VMs have in flight there,
+/// and which of them failed lately. Chooses the target of a request. Sans-I/O.
+#pragma once
+
+#include "fuchsialoom/core/targets.h"
+#include "fuchsialoom/gateway/routes.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace fuchsialoom
+{
+
+struct held_model
+{
+    model_id model;
+    std::set<adapter_id> adapters;
+
+    friend bool operator==(const held_model &, const held_model &) = default;
+};
+
+/// A target as the platform lists it. Each start of its process has an id of its own.
+struct listed_upstream
+{
+    target_id id;
+    service_id service;
+    endpoint address;
+    domain_id domain;
+    std::uint32_t slots = 1; ///< requests that it works on at once
+    bool leaving = false; ///< gets nothing new
+    bool isEngine = false; ///< what it holds is managed
+    std::vector<held_model> models;
+
+    friend bool operator==(const listed_upstream &, const listed_upstream &) = default;
+};
+
+/// What a target holds changed, by word of the VM that ordered it.
+struct residency_news
+{
+    target_id target;
+    model_id model;
+    adapter_id adapter; ///< empty: the model itself
+    bool present = true;
+
+    friend auto operator<=>(const residency_news &, const residency_news &) = default;
+};
+
+/// One VM's word of what it has in flight: by target.
+using flight_counts = std::map<target_id, std::uint32_t>;
+
+struct pool_target
+{
+    listed_upstream listed;
+    std::uint32_t ownInFlight = 0;
+    std::uint32_t peersInFlight = 0; ///< by their latest digests
+    double trouble = 0; ///< share of late attempts that failed, decaying; 0 to 1
+    instant troubleAt{}; ///< up to when `trouble` has decayed
+    instant avoidUntil{}; ///< after a connection that couldn't be made, or silence
+
+    std::uint32_t inFlight() const
+    {
+        return ownInFlight + peersInFlight;
+    }
+    bool holds(const model_id &model, const adapter_id &adapter) const;
+};
+
+struct target_query
+{
+    service_id service;
+    model_id model; ///< empty for plain services
+    adapter_id adapter; ///< empty when none is used
+    const std::set<target_id> *tried = nullptr; ///< not there again
+};
+
+/// Why no target was chosen.
+enum class pool_verdict {
+    Chosen,
+    NoTarget, ///< none of the service is listed
+    NotResident, ///< none holds the model or adapter
+    NoRoom, ///< those that hold it are full
+};
+
+template<>
+struct name_table<pool_verdict>
+{
+    static constexpr auto entries = std::to_array<enum_name<pool_verdict>>({
+        {pool_verdict::Chosen, "chosen"},
+        {pool_verdict::NoTarget, "no-target"},
+        {pool_verdict::NotResident, "not-resident"},
+        {pool_verdict::NoRoom, "no-room"},
+    });
+};
+
+struct target_choice
+{
+    pool_target *target = nullptr; ///< valid until the pool's next change of targets
+    pool_verdict verdict = pool_verdict::NoTarget;
+    std::size_t candidates = 0; ///< targets that could serve the request once they have room
+};
+
+class target_pool
+{
+public:
+    explicit target_pool(domain_id ownDomain);
+
+    /// \name What the platform lists.
+    /// @{
+    /// Adds or changes a target. \return whether anything but lapsed news changed.
+    bool list(instant now, listed_upstream target);
+    void unlist(const target_id &id);
+    /// @}
+
+    /// \p news holds against the list's older word for a time.
+    void learn(instant now, const residency_news &news);
+
+    /// A target said that it doesn't hold this.
+    void noteAbsent(instant now, const target_id &id, const model_id &model, const adapter_id &adapter);
+
+    /// \p vm's counts, in place of its earlier ones; they lapse when it stays silent.
+    void setPeerFlights(instant now, const vm_id &vm, flight_counts counts);
+    void expirePeers(instant now);
+
+    target_choice choose(instant now, const target_query &query, std::uint64_t draw);
+
+    /// \name Attempts of this VM.
+    /// @{
+    void begin(const target_id &id);
+    void end(const target_id &id);
+    void succeeded(instant now, const target_id &id);
+    void failed(instant now, const target_id &id);
+    /// No connection, or no sign of life: avoided for a while.
+    void avoid(instant now, const target_id &id, milliseconds length);
+    /// @}
+
+    flight_counts ownFlights() const;
+
+    const pool_target *find(const target_id &id) const;
+    const std::map<target_id, pool_target> &targets() const
+    {
+        return m_targets;
+    }
+
+    /// A free place at a target of \p service, and of \p model where that is set.
+    bool hasRoom(const service_id &service, const model_id &model) const;
+
+private:
+    struct peer_flights
+    {
+        flight_counts counts;
+        instant heardAt{};
+    };
+
+    struct held_news
+    {
+        residency_news news;
+        instant until{};
+    };
+
+    void applyNews(instant now, pool_target &target);
+    void setHeld(pool_target &target, const residency_news &news);
+    void countPeers();
+    double scoreOf(instant now, const pool_target &target, std::uint64_t draw) const;
+    static std::uint32_t placesOf(const pool_target &target);
+
+    const domain_id m_ownDomain;
+    std::map<target_id, pool_target> m_targets;
+    std::map<vm_id, peer_flights> m_peers;
+    std::map<target_id, std::vector<held_news>> m_news; ///< not yet certain to be in the list; bounded by time
+};
+
+} // namespace fuchsialoom
--- /dev/null
+++ b/packages/gateway/lib/exchange.h
@@ -0,0 +1,115 @@
+/// \file
+/// One request from its arrival to its answer: waits in the gateway's queue, is sent to a target,
+/// perhaps to another, and relays what comes back.
+#pragma once
+
+#include "fuchsialoom/gateway/event_scanner.h"
+#include "fuchsialoom/gateway/gateway.h"
+
+#include <memory>
+#include <set>
+#include <string>
+
+namespace fuchsialoom
+{
+
+class exchange : public std::enable_shared_from_this<exchange>
+{
+public:
+    exchange(gateway &owner, std::shared_ptr<caller_link> caller, received_request request);
+    ~exchange();
+
+    /// Decides by the configuration in force: queues the request or answers it.
+    void start();
+
+    /// Sends the request to \p target, which counts it as in flight until the attempt ends.
+    void dispatch(const pool_target &target);
+
+    void refuse(refusal why, std::optional<milliseconds> retryAfter);
+
+    queued_request queueEntry() const;
+    target_query query() const;
+    const request_facts &facts() const
+    {
+        return m_facts;
+    }
+    const request_id &serial() const
+    {
+        return m_serial;
+    }
+    instant deadline() const
+    {
+        return m_deadline;
+    }
+    bool isDone() const
+    {
+        return m_done;
+    }
+
+private:
+    friend class gateway;
+
+    struct attempt
+    {
+        target_id target;
+        std::shared_ptr<http_link> link;
+        bool isSigned = false; ///< the answer bears the target's signature
+        bool headCame = false;
+        bool passesEvents = false; ///< the answer is a stream that goes on event by event
+        answer_head head;
+        std::string body; ///< of an answer that goes on as a whole
+        instant sentAt{};
+        instant lastByteAt{};
+    };
+
+    void resolveRoute();
+    bool isStream() const
+    {
+        return m_route.kind == request_kind::Stream;
+    }
+    std::string requestBytes(const pool_target &target) const;
+    link_events eventsOf(std::uint32_t number);
+    void onHead(const answer_head &head);
+    void onBody(std::string_view bytes);
+    void onComplete();
+    void onFailure(link_failure how, bool sent);
+    void relay(std::string_view events);
+    void finishStream();
+    void passOnWhole();
+    void endAttempt();
+    void follow(attempt_outcome outcome);
+    void answerFailure(int status, std::string_view reason);
+    void onCallerGone();
+    void armTimer();
+    void onTime();
+    void onDeadline();
+    instant silenceDeadline() const;
+    void finish(std::string_view result, std::string_view reason);
+
+    gateway &m_owner;
+    std::shared_ptr<caller_link> m_caller;
+    received_request m_request;
+    request_facts m_facts;
+    request_id m_serial; ///< unique at this VM, unlike the caller's id
+    route m_route; ///< a copy: the configuration may change meanwhile
+    service_id m_service;
+    bool m_isEngine = false;
+    std::uint64_t m_configVersion = 0;
+    instant m_arrivedAt;
+    instant m_deadline; ///< the caller waits no longer, or the operator wants it no longer kept waiting
+    instant m_patience; ///< the caller waits no longer
+    attempt_history m_history;
+    std::set<target_id> m_tried;
+    std::optional<attempt> m_attempt; ///< the one under way
+    std::uint32_t m_attemptNumber = 0; ///< events of an earlier attempt are told apart by it
+    event_scanner m_scanner;
+    instant m_firstEventAt{};
+    std::uint64_t m_gapMs = 0; ///< longest pause between events
+    asio::steady_timer m_timer;
+    bool m_streamStarted = false; ///< the caller has the head of a stream
+    bool m_counted = false; ///< in the demand of its model
+    bool m_running = false;
+    bool m_done = false;
+};
+
+} // namespace fuchsialoom
--- /dev/null
+++ b/packages/gateway/lib/gateway.cpp
@@ -0,0 +1,173 @@
+/// \file
+/// The request path of one VM.
+#include "fuchsialoom/gateway/gateway.h"
+
+#include "exchange.h"
+
+#include <algorithm>
+
+namespace fuchsialoom
+{
+
+/// Queued requests are looked over so often for those that can't start in time. A tenth of the shortest
+/// objective that the users name is 10 ms; an eighth of the usual ones is 37 to 50 ms.
+static constexpr milliseconds queueLook{25};
+
+gateway::gateway(asio::io_context &loop, gateway_options options, dialect_calls dialect, decision_log &log)
+    : m_loop(loop)
+    , m_options(std::move(options))
+    , m_dialect(dialect)
+    , m_log(log)
+    , m_pool(m_options.domain)
+    , m_links(loop)
+    , m_queueTimer(loop)
+    , m_random(m_options.seed)
+{
+}
+
+gateway::~gateway() = default;
+
+const caller_limits &gateway::limits() const
+{
+    static const caller_limits unconfigured;
+    return m_configuration ? m_configuration->limits : unconfigured;
+}
+
+bool gateway::configure(gateway_configuration configuration)
+{
+    if (m_configuration && configuration.version <= m_configuration->version) {
+        return false;
+    }
+    m_log.write(loopNow(),
+                log_line("configured")
+                    .with("version", configuration.version)
+                    .with("before", m_configuration ? m_configuration->version : 0)
+                    .with("routes", configuration.routes.size())
+                    .with("services", configuration.services.size()));
+    m_routes.assign(configuration.routes);
+    m_configuration = std::move(configuration);
+    pump();
+    return true;
+}
+
+void gateway::setLiveVms(std::size_t live)
+{
+    m_liveVms = live;
+    for (auto &[service, budget] : m_budgets) {
+        budget.setVms(live);
+    }
+}
+
+shared_budget &gateway::budgetOf(const service_id &service)
+{
+    const auto [found, isNew] = m_budgets.try_emplace(service);
+    if (isNew) {
+        found->second.setLimits(m_options.retries);
+        found->second.setVms(m_liveVms);
+    }
+    return found->second;
+}
+
+void gateway::submit(const std::shared_ptr<caller_link> &caller, received_request request)
+{
+    const auto one = std::make_shared<exchange>(*this, caller, std::move(request));
+    one->start();
+}
+
+void gateway::enqueue(const std::shared_ptr<exchange> &one)
+{
+    const request_facts &facts = one->facts();
+    if (!one->m_counted) {
+        one->m_counted = true;
+        budgetOf(one->m_service).countRequest(loopNow());
+        m_demand[facts.model].arrivals += 1;
+    }
+    m_demand[facts.model].waiting += 1;
+    m_queue.push(one->queueEntry());
+    m_queued.emplace(one->serial(), one);
+    pump();
+}
+
+void gateway::forget(exchange &one)
+{
+    m_queue.remove(one.serial());
+    if (m_queued.erase(one.serial()) > 0) {
+        m_demand[one.facts().model].waiting -= 1;
+    }
+    if (one.m_running) {
+        one.m_running = false;
+        m_demand[one.facts().model].running -= 1;
+    }
+    pump();
+}
+
+bool gateway::tryDispatch(exchange &one)
+{
+    const target_query query = one.query();
+    const target_choice choice = m_pool.choose(loopNow(), query, m_random());
+    if (choice.target) {
+        m_queue.depart(loopNow(), one.serial());
+        const auto held = m_queued.extract(one.serial());
+        m_demand[one.facts().model].waiting -= 1;
+        one.dispatch(*choice.target);
+        return true;
+    }
+    if (choice.verdict == pool_verdict::NotResident && !query.adapter.empty() && m_onWantedAdapter) {
+        m_onWantedAdapter({query.service, query.model, query.adapter});
+    }
+    return false;
+}
+
+void gateway::pump()
+{
+    if (m_pumping) {
+        m_pumpAgain = true;
+        return;
+    }
+    m_pumping = true;
+    do {
+        m_pumpAgain = false;
+        std::set<lane_key> blocked;
+        while (const queued_request *next = m_queue.next(blocked)) {
+            const lane_key lane = next->lane;
+            const std::shared_ptr<exchange> one = m_queued.at(next->id);
+            if (!tryDispatch(*one)) {
+                blocked.insert(lane);
+            }
+        }
+        m_queue.settle(loopNow());
+        refuseUnreachable(loopNow());
+    } while (m_pumpAgain);
+    m_pumping = false;
+    armQueueTimer();
+}
+
+void gateway::refuseUnreachable(instant now)
+{
+    for (const request_id &serial : m_queue.unreachable(now)) {
+        const std::shared_ptr<exchange> one = m_queued.at(serial);
+        const milliseconds retryAfter = m_queue.retryAfter(now, one->queueEntry().lane);
+        if (one->m_history.mayHaveRun) {
+            one->answerFailure(502, "queue-full");
+        } else {
+            one->refuse(now >= one->deadline() ? refusal::TimedOut : refusal::QueueFull, retryAfter);
+        }
+    }
+}
+
+void gateway::armQueueTimer()
+{
+    if (m_queueTimerArmed || m_queue.size() == 0) {
+        return;
+    }
+    m_queueTimerArmed = true;
+    m_queueTimer.expires_after(queueLook);
+    m_queueTimer.async_wait([this](const asio::error_code &problem) {
+        m_queueTimerArmed = false;
+        if (!problem) {
+            pump();
+        }
+    });
+}
+
+} // namespace fuchsialoom
--- /dev/null
+++ b/packages/gateway/lib/link_pool.cpp
@@ -0,0 +1,68 @@
+/// \file
+/// Kept connections to targets.
+#include "fuchsialoom/gateway/link_pool.h"
+
+namespace fuchsialoom
+{
+
+/// Idle connections kept for each target: an engine's slots are shared by all VMs, so more are in use
+/// at once only in a burst at one VM.
+static constexpr std::size_t mostIdle = 32;
+
+asio::ip::tcp::endpoint tcpEndpointOf(const endpoint &address)
+{
+    return {asio::ip::make_address(address.host), address.port};
+}
+
+link_pool::link_pool(asio::io_context &loop)
+    : m_loop(loop)
+{
+}
+
+std::shared_ptr<http_link> link_pool::take(const target_id &target, const endpoint &address)
+{
+    std::vector<std::shared_ptr<http_link>> &idle = m_idle[target];
+    while (!idle.empty()) {
+        const std::shared_ptr<http_link> link = std::move(idle.back());
+        idle.pop_back();
+        if (link->isReusable()) {
+            return link;
+        }
+        link->close();
+    }
+    m_made += 1;
+    return std::make_shared<http_link>(m_loop, tcpEndpointOf(address));
+}
+
+void link_pool::give(const target_id &target, const std::shared_ptr<http_link> &link)
+{
+    std::vector<std::shared_ptr<http_link>> &idle = m_idle[target];
+    if (idle.size() < mostIdle && link->isReusable()) {
+        idle.push_back(link);
+    } else {
+        link->close();
+    }
+}
+
+void link_pool::drop(const target_id &target)
+{
+    const auto found = m_idle.find(target);
+    if (found == m_idle.end()) {
+        return;
+    }
+    for (const std::shared_ptr<http_link> &link : found->second) {
+        link->close();
+    }
+    m_idle.erase(found);
+}
+
+std::size_t link_pool::idle() const
+{
+    std::size_t count = 0;
+    for (const auto &[target, links] : m_idle) {
+        count += links.size();
+    }
+    return count;
+}
+
+} // namespace fuchsialoom
--- /dev/null
+++ b/packages/gateway/lib/peer_digest.cpp
@@ -0,0 +1,172 @@
+/// \file
+/// Digests as CBOR arrays.
+#include "fuchsialoom/gateway/peer_digest.h"
+
+#include "fuchsialoom/support/errors.h"
+
+#include <nlohmann/json.hpp>
+
+namespace fuchsialoom
+{
+
+using nlohmann::json;
+
+/// Digests of another layout are dropped, so that VMs of two releases can run side by side.
+static constexpr int layoutNumber = 1;
+
+namespace
+{
+
+template<typename Entry, typename Encode>
+json listOf(const std::vector<Entry> &entries, Encode encode)
+{
+    json list = json::array();
+    for (const Entry &one : entries) {
+        list.push_back(encode(one));
+    }
+    return list;
+}
+
+template<typename Entry, typename Decode>
+std::vector<Entry> entriesOf(const json &list, Decode decode)
+{
+    std::vector<Entry> entries;
+    for (const json &one : list) {
+        entries.push_back(decode(one));
+    }
+    return entries;
+}
+
+json encodeDemand(const demand_entry &one)
+{
+    return json::array({one.model.text(), one.adapter.text(), one.arrivals, one.waiting, one.running});
+}
+
+demand_entry decodeDemand(const json &one)
+{
+    return {model_id(one.at(0).get<std::string>()),
+            adapter_id(one.at(1).get<std::string>()),
+            one.at(2).get<std::uint64_t>(),
+            one.at(3).get<std::uint32_t>(),
+            one.at(4).get<std::uint32_t>()};
+}
+
+json encodeWant(const adapter_want &one)
+{
+    return json::array({one.service.text(), one.model.text(), one.adapter.text()});
+}
+
+adapter_want decodeWant(const json &one)
+{
+    return {service_id(one.at(0).get<std::string>()), model_id(one.at(1).get<std::string>()), adapter_id(one.at(2).get<std::string>())};
+}
+
+json encodeNews(const residency_news &one)
+{
+    return json::array({one.target.text(), one.model.text(), one.adapter.text(), one.present});
+}
+
+residency_news decodeNews(const json &one)
+{
+    return {target_id(one.at(0).get<std::string>()),
+            model_id(one.at(1).get<std::string>()),
+            adapter_id(one.at(2).get<std::string>()),
+            one.at(3).get<bool>()};
+}
+
+json encodeDeath(const target_death &one)
+{
+    return json::array({one.fingerprint, one.target.text()});
+}
+
+target_death decodeDeath(const json &one)
+{
+    return {one.at(0).get<std::uint64_t>(), target_id(one.at(1).get<std::string>())};
+}
+
+json encodeFlights(const flight_counts &flights)
+{
+    json list = json::array();
+    for (const auto &[target, count] : flights) {
+        list.push_back(target.text());
+        list.push_back(count);
+    }
+    return list;
+}
+
+flight_counts decodeFlights(const json &list)
+{
+    flight_counts flights;
+    for (std::size_t at = 0; at + 1 < list.size(); at += 2) {
+        flights[target_id(list.at(at).get<std::string>())] = list.at(at + 1).get<std::uint32_t>();
+    }
+    return flights;
+}
+
+peer_digest decodeFields(const json &fields)
+{
+    peer_digest digest;
+    std::size_t at = 1;
+    const auto next = [&fields, &at]() -> const json & {
+        return fields.at(at++);
+    };
+    digest.vm = vm_id(next().get<std::string>());
+    digest.incarnation = next().get<std::uint64_t>();
+    digest.sequence = next().get<std::uint64_t>();
+    digest.configVersion = next().get<std::uint64_t>();
+    digest.leaving = next().get<bool>();
+    const json &fence = next();
+    if (!fence.is_null()) {
+        digest.dutyFence = fence.get<std::uint64_t>();
+    }
+    digest.flights = decodeFlights(next());
+    digest.demand = entriesOf<demand_entry>(next(), decodeDemand);
+    digest.wants = entriesOf<adapter_want>(next(), decodeWant);
+    digest.news = entriesOf<residency_news>(next(), decodeNews);
+    digest.deaths = entriesOf<target_death>(next(), decodeDeath);
+    digest.peers = entriesOf<endpoint>(next(), [](const json &one) {
+        return parseEndpoint(one.get<std::string>());
+    });
+    return digest;
+}
+
+} // namespace
+
+std::string encodeDigest(const peer_digest &digest)
+{
+    json fields = json::array({layoutNumber,
+                               digest.vm.text(),
+                               digest.incarnation,
+                               digest.sequence,
+                               digest.configVersion,
+                               digest.leaving,
+                               digest.dutyFence ? json(*digest.dutyFence) : json(),
+                               encodeFlights(digest.flights),
+                               listOf(digest.demand, encodeDemand),
+                               listOf(digest.wants, encodeWant),
+                               listOf(digest.news, encodeNews),
+                               listOf(digest.deaths, encodeDeath),
+                               listOf(digest.peers, [](const endpoint &one) {
+                                   return json(toText(one));
+                               })});
+    std::string bytes;
+    json::to_cbor(fields, nlohmann::detail::output_adapter<char>(bytes));
+    return bytes;
+}
+
+std::optional<peer_digest> decodeDigest(std::string_view bytes)
+{
+    const json fields = json::from_cbor(bytes.begin(), bytes.end(), true, false);
+    if (!fields.is_array() || fields.empty() || fields[0] != layoutNumber) {
+        return std::nullopt;
+    }
+    try {
+        return decodeFields(fields);
+    } catch (const json::exception &) {
+        return std::nullopt;
+    } catch (const error &) {
+        return std::nullopt;
+    }
+}
+
+} // namespace fuchsialoom
--- /dev/null
+++ b/packages/gateway/lib/residency_keeper.cpp
@@ -0,0 +1,508 @@
+/// \file
+/// Orders to engines.
+#include "fuchsialoom/gateway/residency_keeper.h"
+
+#include <algorithm>
+
+namespace fuchsialoom
+{
+
+/// From an adapter's order until requests are sent there: a load takes 5 to 10 ms, and a request that
+/// comes before its end is refused.
+static constexpr milliseconds adapterSettle{25};
+/// From the news that a model goes until its unload: requests on their way still find it.
+static constexpr milliseconds unloadSettle{120};
+/// Between two looks at an engine that loads; its report is some 200 ms old.
+static constexpr milliseconds reportEvery{200};
+/// After a report that didn't come.
+static constexpr milliseconds reportRetry{400};
+/// The first look at a load: the quickest take 0.4 s.
+static constexpr milliseconds firstLook{350};
+/// A want is repeated by the VMs that have it, so it lapses soon.
+static constexpr milliseconds wantHold{600};
+/// An adapter that was asked for so lately doesn't make way for another.
+static constexpr milliseconds adapterInUse{500};
+/// An unanswered order's load that no report shows by then counts as lost, and is ordered anew if wanted.
+static constexpr seconds loadLost{20};
+
+residency_keeper::residency_keeper(load_limits limits, decision_log &log)
+    : m_limits(limits)
+    , m_log(log)
+{
+}
+
+void residency_keeper::reset()
+{
+    m_engines.clear();
+    m_wants.clear();
+    m_plans.clear();
+    m_due.clear();
+}
+
+void residency_keeper::setTraits(const service_id &service, const engine_traits &traits)
+{
+    m_traits[service] = traits;
+}
+
+void residency_keeper::want(instant now, const adapter_want &want)
+{
+    m_wants[want] = now + wantHold;
+    used(now, want.model, want.adapter);
+}
+
+void residency_keeper::used(instant now, const model_id &model, const adapter_id &adapter)
+{
+    m_used[{model, adapter}] = now;
+}
+
+void residency_keeper::setPlan(const service_id &service, wanted_placement plan)
+{
+    m_plans[service] = std::move(plan);
+}
+
+const std::vector<held_model> *residency_keeper::heldBy(const target_id &target) const
+{
+    const auto found = m_engines.find(target);
+    return found == m_engines.end() || !found->second.known ? nullptr : &found->second.models;
+}
+
+bool residency_keeper::isReported(const target_id &target) const
+{
+    return heldBy(target) != nullptr;
+}
+
+static held_model *findModel(std::vector<held_model> &models, const model_id &model)
+{
+    const auto found = std::find_if(models.begin(), models.end(), [&model](const held_model &held) {
+        return held.model == model;
+    });
+    return found == models.end() ? nullptr : &*found;
+}
+
+static bool holdsModel(const std::vector<held_model> &models, const model_id &model)
+{
+    return std::any_of(models.begin(), models.end(), [&model](const held_model &held) {
+        return held.model == model;
+    });
+}
+
+static const served_model *traitsOf(const engine_traits &traits, const model_id &model)
+{
+    const auto found = std::find_if(traits.models.begin(), traits.models.end(), [&model](const served_model &one) {
+        return one.model == model;
+    });
+    return found == traits.models.end() ? nullptr : &*found;
+}
+
+void residency_keeper::onReport(instant, instant now, const target_id &target, const engine_report &report)
+{
+    const auto found = m_engines.find(target);
+    if (found == m_engines.end()) {
+        return;
+    }
+    engine &at = found->second;
+    at.asked = false;
+    // The report lags behind its question, so it may miss what was accepted since.
+    const bool behind = at.known && report.orderCount < at.orderCount;
+    if (behind) {
+        at.askAt = now + reportEvery;
+        return;
+    }
+    at.known = true;
+    at.orderCount = report.orderCount;
+    at.busy = report.busy;
+    at.models = report.models;
+    at.atHand = report.atHand;
+    if (report.busy) {
+        at.askAt = now + reportEvery;
+        return;
+    }
+    finishLoading(now, target, at);
+}
+
+/// The engine is idle: what was under way there has happened, or never will.
+void residency_keeper::finishLoading(instant now, const target_id &id, engine &at)
+{
+    if (!at.loading) {
+        return;
+    }
+    const residency_order order = *at.loading;
+    const bool there = holdsModel(at.models, order.model);
+    const auto took = std::chrono::duration_cast<milliseconds>(now - at.loadingSince);
+    if (there != order.load && now - at.loadingSince < loadLost && at.orderCount <= order.expected) {
+        at.askAt = now + reportEvery;
+        return;
+    }
+    m_log.write(now,
+                log_line("order-done")
+                    .with("target", id)
+                    .with("op", order.load ? "load" : "unload")
+                    .with("model", order.model)
+                    .with("held", there ? "yes" : "no")
+                    .with("took-ms", took));
+    m_due.push_back({now, {id, order.model, {}, there}});
+    at.loading.reset();
+}
+
+void residency_keeper::onReportFailed(instant now, const target_id &target)
+{
+    const auto found = m_engines.find(target);
+    if (found != m_engines.end()) {
+        found->second.asked = false;
+        found->second.askAt = now + reportRetry;
+    }
+}
+
+void residency_keeper::apply(engine &at, const residency_order &order)
+{
+    held_model *held = findModel(at.models, order.model);
+    if (order.adapter.empty()) {
+        if (order.load && !held) {
+            at.models.push_back({order.model, {}});
+        } else if (!order.load && held) {
+            std::erase_if(at.models, [&order](const held_model &one) {
+                return one.model == order.model;
+            });
+        }
+    } else if (held && order.load) {
+        held->adapters.insert(order.adapter);
+    } else if (held) {
+        held->adapters.erase(order.adapter);
+    }
+}
+
+void residency_keeper::onOrdered(instant now, const residency_order &order, order_result result)
+{
+    m_log.write(now,
+                log_line("order-answered")
+                    .with("target", order.target)
+                    .with("op", order.load ? "load" : "unload")
+                    .with("model", order.model)
+                    .with("adapter", order.adapter)
+                    .with("expected", order.expected)
+                    .with("result", result));
+    const auto found = m_engines.find(order.target);
+    if (found == m_engines.end() || found->second.sent != order) {
+        return;
+    }
+    engine &at = found->second;
+    switch (result) {
+    case order_result::Unknown:
+        // Sent again, unchanged, by the next step.
+        return;
+    case order_result::Conflict:
+    case order_result::Refused:
+        at.sent.reset();
+        at.known = false;
+        at.askAt = now + reportEvery;
+        return;
+    case order_result::Accepted:
+        at.orderCount = order.expected + 1;
+        break;
+    case order_result::AlreadySo:
+        break;
+    }
+    at.sent.reset();
+    apply(at, order);
+    if (!order.adapter.empty()) {
+        m_due.push_back({now + (result == order_result::Accepted && order.load ? adapterSettle : milliseconds(0)),
+                         {order.target, order.model, order.adapter, order.load}});
+        return;
+    }
+    if (result == order_result::AlreadySo) {
+        m_due.push_back({now, {order.target, order.model, {}, order.load}});
+        return;
+    }
+    at.busy = true;
+    at.loading = order;
+    at.loadingSince = now;
+    at.askAt = now + (order.load ? firstLook : reportEvery);
+}
+
+void residency_keeper::syncEngines(const target_pool &pool)
+{
+    std::erase_if(m_engines, [&pool](const auto &entry) {
+        return pool.find(entry.first) == nullptr;
+    });
+    for (const auto &[id, target] : pool.targets()) {
+        if (target.listed.isEngine && m_traits.contains(target.listed.service)) {
+            m_engines[id].service = target.listed.service;
+        }
+    }
+}
+
+double residency_keeper::megabytesOf(const engine &at, const engine_traits &traits) const
+{
+    double megabytes = 0;
+    for (const held_model &held : at.models) {
+        const served_model *model = traitsOf(traits, held.model);
+        if (!model) {
+            // Of unknown size: nothing more fits for certain.
+            return traits.megabytes;
+        }
+        megabytes += model->megabytes + model->adapterMegabytes * static_cast<double>(held.adapters.size());
+    }
+    return megabytes;
+}
+
+std::size_t residency_keeper::adaptersOf(const engine &at) const
+{
+    std::size_t count = 0;
+    for (const held_model &held : at.models) {
+        count += held.adapters.size();
+    }
+    return count;
+}
+
+void residency_keeper::handOut(instant now, engine &at, residency_order order, residency_steps &steps)
+{
+    order.expected = at.orderCount;
+    at.sent = order;
+    m_lastOrder = now;
+    m_orders += 1;
+    m_log.write(now,
+                log_line("order")
+                    .with("target", order.target)
+                    .with("op", order.load ? "load" : "unload")
+                    .with("model", order.model)
+                    .with("adapter", order.adapter)
+                    .with("expected", order.expected));
+    steps.orders.push_back(std::move(order));
+}
+
+const residency_keeper::adapter_key *residency_keeper::leastUsed(const engine &at) const
+{
+    const adapter_key *least = nullptr;
+    instant leastAt = farFuture;
+    for (const held_model &held : at.models) {
+        for (const adapter_id &adapter : held.adapters) {
+            static thread_local std::vector<adapter_key> found(1);
+            const auto known = m_used.find({held.model, adapter});
+            const instant usedAt = known == m_used.end() ? instant{} : known->second;
+            if (usedAt < leastAt) {
+                leastAt = usedAt;
+                found[0] = {held.model, adapter};
+                least = &found[0];
+            }
+        }
+    }
+    return least;
+}
+
+bool residency_keeper::serveWant(instant now, const target_pool &pool, const adapter_want &want, residency_steps &steps)
+{
+    const auto traits = m_traits.find(want.service);
+    if (traits == m_traits.end()) {
+        return true;
+    }
+    engine *best = nullptr;
+    target_id bestId;
+    double bestLoad = 0;
+    for (auto &[id, at] : m_engines) {
+        const pool_target *target = pool.find(id);
+        if (at.service != want.service || !target || target->listed.leaving || !at.known || !holdsModel(at.models, want.model)) {
+            continue;
+        }
+        if (findModel(at.models, want.model)->adapters.contains(want.adapter)) {
+            return true;
+        }
+        if (at.sent || at.retiring || (at.loading && at.loading->model == want.model)) {
+            continue;
+        }
+        const bool full = adaptersOf(at) >= traits->second.adapterSlots;
+        // A free place is worth a third of an engine's load.
+        const double load = static_cast<double>(target->inFlight()) / target->listed.slots + (full ? 0.3 : 0);
+        if (!best || load < bestLoad) {
+            best = &at;
+            bestId = id;
+            bestLoad = load;
+        }
+    }
+    if (!best) {
+        return false;
+    }
+    const pool_target &target = *pool.find(bestId);
+    if (adaptersOf(*best) >= traits->second.adapterSlots) {
+        const adapter_key *out = leastUsed(*best);
+        const auto known = out ? m_used.find(*out) : m_used.end();
+        if (!out || (known != m_used.end() && now - known->second < adapterInUse)) {
+            return false;
+        }
+        steps.news.push_back({bestId, out->first, out->second, false});
+        handOut(now, *best, {bestId, target.listed.address, false, out->first, out->second, 0}, steps);
+        return false;
+    }
+    const served_model *model = traitsOf(traits->second, want.model);
+    if (!model || megabytesOf(*best, traits->second) + model->adapterMegabytes > traits->second.megabytes) {
+        return false;
+    }
+    handOut(now, *best, {bestId, target.listed.address, true, want.model, want.adapter, 0}, steps);
+    return true;
+}
+
+void residency_keeper::serveWants(instant now, const target_pool &pool, residency_steps &steps)
+{
+    std::erase_if(m_wants, [now](const auto &entry) {
+        return entry.second <= now;
+    });
+    for (auto one = m_wants.begin(); one != m_wants.end();) {
+        if (serveWant(now, pool, one->first, steps)) {
+            one = m_wants.erase(one);
+        } else {
+            ++one;
+        }
+    }
+}
+
+bool residency_keeper::mayStartLoad(instant now, const engine_traits &traits, double loadSeconds)
+{
+    while (!m_loadStarts.empty() && now - m_loadStarts.front() > m_limits.window) {
+        m_loadStarts.pop_front();
+    }
+    const double windowSeconds = std::chrono::duration<double>(m_limits.window).count();
+    if (static_cast<double>(m_loadStarts.size()) + 1 > traits.loadsPerSecond * windowSeconds * m_limits.excess) {
+        return false;
+    }
+    // More at once than the store sends at full speed would slow all of them down.
+    const double atOnce = std::max(1.0, traits.loadsPerSecond * loadSeconds);
+    double underWay = 0;
+    for (const auto &[id, at] : m_engines) {
+        underWay += at.loading && at.loading->load ? 1 : 0;
+        underWay += at.sent && at.sent->load && at.sent->adapter.empty() ? 1 : 0;
+    }
+    return underWay + 1 <= atOnce;
+}
+
+std::size_t residency_keeper::certainCopies(const model_id &model, const target_id &except, const target_pool &pool) const
+{
+    std::size_t copies = 0;
+    for (const auto &[id, at] : m_engines) {
+        const pool_target *target = pool.find(id);
+        if (id == except || !target || target->listed.leaving || !at.known || !holdsModel(at.models, model)) {
+            continue;
+        }
+        const bool goes = (at.retiring && at.retiring->model == model) || (at.sent && !at.sent->load && at.sent->model == model)
+            || (at.loading && at.loading->model == model);
+        copies += goes ? 0 : 1;
+    }
+    return copies;
+}
+
+/// Starts the unload of a model that the plan doesn't want there and another engine holds.
+bool residency_keeper::makeRoom(instant now,
+                                const target_pool &pool,
+                                engine &at,
+                                const target_id &id,
+                                const wanted_target *wanted,
+                                residency_steps &steps)
+{
+    for (const held_model &held : at.models) {
+        const bool kept = wanted && std::any_of(wanted->models.begin(), wanted->models.end(), [&held](const resident_model &one) {
+                              return one.model == held.model;
+                          });
+        if (kept || certainCopies(held.model, id, pool) == 0) {
+            continue;
+        }
+        at.retiring = residency_order{id, pool.find(id)->listed.address, false, held.model, {}, 0};
+        at.retireAt = now + unloadSettle;
+        steps.news.push_back({id, held.model, {}, false});
+        return true;
+    }
+    return false;
+}
+
+bool residency_keeper::startLoad(instant now, const target_pool &pool, const wanted_load &load, residency_steps &steps)
+{
+    const auto found = m_engines.find(load.target);
+    const pool_target *target = pool.find(load.target);
+    if (found == m_engines.end() || !target || target->listed.leaving) {
+        return false;
+    }
+    engine &at = found->second;
+    const engine_traits &traits = m_traits.at(at.service);
+    const served_model *model = traitsOf(traits, load.model);
+    if (!model || !at.known || at.busy || at.sent || at.loading || at.retiring || holdsModel(at.models, load.model)) {
+        return false;
+    }
+    if (megabytesOf(at, traits) + model->megabytes > traits.megabytes) {
+        return makeRoom(now, pool, at, load.target, m_plans.at(at.service).find(load.target), steps);
+    }
+    if (!at.atHand.contains(load.model)) {
+        if (!mayStartLoad(now, traits, model->loadSeconds)) {
+            return false;
+        }
+        m_loadStarts.push_back(now);
+    }
+    handOut(now, at, {load.target, target->listed.address, true, load.model, {}, 0}, steps);
+    return true;
+}
+
+void residency_keeper::followPlan(instant now, const target_pool &pool, residency_steps &steps)
+{
+    for (const auto &[service, plan] : m_plans) {
+        for (const wanted_load &load : plan.loads) {
+            if (load.adapter.empty()) {
+                startLoad(now, pool, load, steps);
+            }
+        }
+    }
+}
+
+/// Unloads whose news has spread.
+void residency_keeper::retire(instant now, const target_pool &pool, residency_steps &steps)
+{
+    for (auto &[id, at] : m_engines) {
+        if (!at.retiring || now < at.retireAt || at.sent) {
+            continue;
+        }
+        const residency_order order = *at.retiring;
+        at.retiring.reset();
+        if (!at.known || at.busy || !holdsModel(at.models, order.model) || certainCopies(order.model, id, pool) == 0) {
+            if (at.known && holdsModel(at.models, order.model)) {
+                steps.news.push_back({id, order.model, {}, true});
+            }
+            continue;
+        }
+        handOut(now, at, order, steps);
+    }
+}
+
+void residency_keeper::askReports(instant now, residency_steps &steps)
+{
+    for (auto &[id, at] : m_engines) {
+        const bool needed = !at.known || at.loading || at.busy;
+        if (needed && !at.asked && !at.sent && now >= at.askAt) {
+            at.asked = true;
+            steps.reports.push_back(id);
+        }
+    }
+}
+
+residency_steps residency_keeper::step(instant now, const target_pool &pool)
+{
+    residency_steps steps;
+    syncEngines(pool);
+    for (auto &[id, at] : m_engines) {
+        if (at.sent) {
+            // Handed out before and not answered: once more, the same.
+            steps.orders.push_back(*at.sent);
+        }
+    }
+    const std::size_t repeated = steps.orders.size();
+    serveWants(now, pool, steps);
+    retire(now, pool, steps);
+    followPlan(now, pool, steps);
+    askReports(now, steps);
+    for (const due_news &due : m_due) {
+        if (due.at <= now) {
+            steps.news.push_back(due.news);
+        }
+    }
+    std::erase_if(m_due, [now](const due_news &due) {
+        return due.at <= now;
+    });
+    m_lastOrder = repeated > 0 ? std::optional(now) : m_lastOrder;
+    return steps;
+}
+
+} // namespace fuchsialoom
--- /dev/null
+++ b/packages/gateway/lib/target_pool.cpp
@@ -0,0 +1,284 @@
+/// \file
+/// The targets and the choice between them.
+#include "fuchsialoom/gateway/target_pool.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace fuchsialoom
+{
+
+/// What a holder tells of a target holds against the list for so long: a target writes its entry each
+/// 1.2 s, and readers see it up to 1 s later.
+static constexpr milliseconds newsHold{3000};
+/// A peer that is silent for so long counts as gone, with what it had in flight; several digests.
+static constexpr milliseconds peerSilence{2000};
+/// Half of what a target failed is forgotten in so long: the shortest grey failure that the users name
+/// lasts 4 s, and a target that is well again shall get its part within a few seconds.
+static constexpr milliseconds troubleHalfLife{1500};
+/// Weight of the newest attempt in a target's share of failures.
+static constexpr double troubleStep = 0.25;
+/// Share of a target's load that a request in another domain costs more: bytes between domains are
+/// priced, and half a millisecond each way.
+static constexpr double foreignDomainCost = 0.04;
+/// A target that fails everything counts as twice full.
+static constexpr double troubleCost = 2.0;
+/// Spread of equal targets, so that VMs with the same view don't all choose the same one.
+static constexpr double jitter = 0.08;
+
+bool pool_target::holds(const model_id &model, const adapter_id &adapter) const
+{
+    for (const held_model &held : listed.models) {
+        if (held.model == model) {
+            return adapter.empty() || held.adapters.contains(adapter);
+        }
+    }
+    return false;
+}
+
+target_pool::target_pool(domain_id ownDomain)
+    : m_ownDomain(std::move(ownDomain))
+{
+}
+
+void target_pool::setHeld(pool_target &target, const residency_news &news)
+{
+    std::vector<held_model> &models = target.listed.models;
+    const auto held = std::find_if(models.begin(), models.end(), [&news](const held_model &one) {
+        return one.model == news.model;
+    });
+    if (news.adapter.empty()) {
+        if (news.present && held == models.end()) {
+            models.push_back({news.model, {}});
+        } else if (!news.present && held != models.end()) {
+            models.erase(held);
+        }
+        return;
+    }
+    if (held == models.end()) {
+        return;
+    }
+    if (news.present) {
+        held->adapters.insert(news.adapter);
+    } else {
+        held->adapters.erase(news.adapter);
+    }
+}
+
+void target_pool::applyNews(instant now, pool_target &target)
+{
+    const auto found = m_news.find(target.listed.id);
+    if (found == m_news.end()) {
+        return;
+    }
+    std::erase_if(found->second, [now](const held_news &one) {
+        return one.until <= now;
+    });
+    for (const held_news &one : found->second) {
+        setHeld(target, one.news);
+    }
+    if (found->second.empty()) {
+        m_news.erase(found);
+    }
+}
+
+bool target_pool::list(instant now, listed_upstream target)
+{
+    pool_target &entry = m_targets[target.id];
+    const listed_upstream before = entry.listed;
+    entry.listed = std::move(target);
+    applyNews(now, entry);
+    if (before.id.empty()) {
+        countPeers();
+    }
+    return before != entry.listed;
+}
+
+void target_pool::unlist(const target_id &id)
+{
+    m_targets.erase(id);
+    m_news.erase(id);
+}
+
+void target_pool::learn(instant now, const residency_news &news)
+{
+    const auto found = m_targets.find(news.target);
+    if (found == m_targets.end()) {
+        return;
+    }
+    std::vector<held_news> &kept = m_news[news.target];
+    std::erase_if(kept, [&news](const held_news &one) {
+        return one.news.model == news.model && one.news.adapter == news.adapter;
+    });
+    kept.push_back({news, now + newsHold});
+    setHeld(found->second, news);
+}
+
+void target_pool::noteAbsent(instant now, const target_id &id, const model_id &model, const adapter_id &adapter)
+{
+    learn(now, {id, model, adapter, false});
+}
+
+void target_pool::setPeerFlights(instant now, const vm_id &vm, flight_counts counts)
+{
+    m_peers[vm] = {std::move(counts), now};
+    countPeers();
+}
+
+void target_pool::expirePeers(instant now)
+{
+    const std::size_t gone = std::erase_if(m_peers, [now](const auto &peer) {
+        return now - peer.second.heardAt > peerSilence;
+    });
+    if (gone > 0) {
+        countPeers();
+    }
+}
+
+void target_pool::countPeers()
+{
+    for (auto &[id, target] : m_targets) {
+        target.peersInFlight = 0;
+    }
+    for (const auto &[vm, flights] : m_peers) {
+        for (const auto &[id, count] : flights.counts) {
+            const auto found = m_targets.find(id);
+            if (found != m_targets.end()) {
+                found->second.peersInFlight += count;
+            }
+        }
+    }
+}
+
+/// Requests that a target gets at once. An engine queues more, but what waits there waits in the order
+/// of arrival behind whatever came; here the most urgent goes first.
+std::uint32_t target_pool::placesOf(const pool_target &target)
+{
+    return target.listed.slots;
+}
+
+double target_pool::scoreOf(instant now, const pool_target &target, std::uint64_t draw) const
+{
+    const double load = static_cast<double>(target.inFlight()) / std::max(1U, target.listed.slots);
+    const double halvings = std::chrono::duration<double>(now - target.troubleAt) / std::chrono::duration<double>(troubleHalfLife);
+    const double trouble = target.trouble * std::exp2(-std::max(0.0, halvings));
+    const double foreign = target.listed.domain == m_ownDomain ? 0 : foreignDomainCost;
+    const double spread = jitter * static_cast<double>(draw % 1024) / 1024;
+    return load + foreign + troubleCost * trouble + spread;
+}
+
+target_choice target_pool::choose(instant now, const target_query &query, std::uint64_t draw)
+{
+    target_choice choice;
+    double bestScore = 0;
+    bool bestAvoided = false;
+    bool listed = false;
+    std::uint64_t state = draw;
+    for (auto &[id, target] : m_targets) {
+        if (target.listed.service != query.service || target.listed.leaving || (query.tried && query.tried->contains(id))) {
+            continue;
+        }
+        listed = true;
+        if (!query.model.empty() && target.listed.isEngine && !target.holds(query.model, query.adapter)) {
+            continue;
+        }
+        choice.candidates += 1;
+        if (target.inFlight() >= placesOf(target)) {
+            continue;
+        }
+        state = state * 6364136223846793005ULL + 1442695040888963407ULL;
+        const bool avoided = now < target.avoidUntil;
+        const double score = scoreOf(now, target, state >> 33);
+        const bool better = !choice.target || (bestAvoided && !avoided) || (bestAvoided == avoided && score < bestScore);
+        if (better) {
+            choice.target = &target;
+            bestScore = score;
+            bestAvoided = avoided;
+        }
+    }
+    if (choice.target) {
+        choice.verdict = pool_verdict::Chosen;
+    } else if (choice.candidates > 0) {
+        choice.verdict = pool_verdict::NoRoom;
+    } else {
+        choice.verdict = listed ? pool_verdict::NotResident : pool_verdict::NoTarget;
+    }
+    return choice;
+}
+
+bool target_pool::hasRoom(const service_id &service, const model_id &model) const
+{
+    return std::any_of(m_targets.begin(), m_targets.end(), [&](const auto &entry) {
+        const pool_target &target = entry.second;
+        return target.listed.service == service && !target.listed.leaving && target.inFlight() < placesOf(target)
+            && (model.empty() || !target.listed.isEngine || target.holds(model, {}));
+    });
+}
+
+void target_pool::begin(const target_id &id)
+{
+    const auto found = m_targets.find(id);
+    if (found != m_targets.end()) {
+        found->second.ownInFlight += 1;
+    }
+}
+
+void target_pool::end(const target_id &id)
+{
+    const auto found = m_targets.find(id);
+    if (found != m_targets.end() && found->second.ownInFlight > 0) {
+        found->second.ownInFlight -= 1;
+    }
+}
+
+static void mixTrouble(instant now, pool_target &target, double newest)
+{
+    const double halvings = std::chrono::duration<double>(now - target.troubleAt) / std::chrono::duration<double>(troubleHalfLife);
+    const double kept = target.trouble * std::exp2(-std::max(0.0, halvings));
+    target.trouble = kept * (1 - troubleStep) + newest * troubleStep;
+    target.troubleAt = now;
+}
+
+void target_pool::succeeded(instant now, const target_id &id)
+{
+    const auto found = m_targets.find(id);
+    if (found != m_targets.end()) {
+        mixTrouble(now, found->second, 0);
+        found->second.avoidUntil = instant{};
+    }
+}
+
+void target_pool::failed(instant now, const target_id &id)
+{
+    const auto found = m_targets.find(id);
+    if (found != m_targets.end()) {
+        mixTrouble(now, found->second, 1);
+    }
+}
+
+void target_pool::avoid(instant now, const target_id &id, milliseconds length)
+{
+    const auto found = m_targets.find(id);
+    if (found != m_targets.end()) {
+        found->second.avoidUntil = std::max(found->second.avoidUntil, now + length);
+    }
+}
+
+flight_counts target_pool::ownFlights() const
+{
+    flight_counts counts;
+    for (const auto &[id, target] : m_targets) {
+        if (target.ownInFlight > 0) {
+            counts[id] = target.ownInFlight;
+        }
+    }
+    return counts;
+}
+
+const pool_target *target_pool::find(const target_id &id) const
+{
+    const auto found = m_targets.find(id);
+    return found == m_targets.end() ? nullptr : &found->second;
+}
+
+} // namespace fuchsialoom
--- /dev/null
+++ b/packages/http/include/fuchsialoom/http/answer_reader.h
@@ -0,0 +1,62 @@
+/// \file
+/// Reads answers from the bytes of a connection to a server, one message after the other, and tells
+/// what came as soon as it came.
+#pragma once
+
+#include "fuchsialoom/http/header_list.h"
+
+#include <cstddef>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace fuchsialoom
+{
+
+struct answer_head
+{
+    int status = 0;
+    header_list headers; ///< as sent, those of the connection included
+};
+
+/// What consume() found in the bytes it took.
+struct answer_progress
+{
+    bool headCame = false; ///< head() is whole since this call
+    std::string body; ///< bytes of the body, without their framing
+    bool complete = false; ///< the message ended; following bytes belong to another one
+    bool broken = false; ///< the bytes are no answer, or not a whole one
+    std::size_t taken = 0; ///< how many bytes belong to the message
+};
+
+class answer_reader
+{
+public:
+    answer_reader();
+    ~answer_reader();
+    answer_reader(const answer_reader &) = delete;
+    answer_reader &operator=(const answer_reader &) = delete;
+
+    /// Starts on a new message. \p toHead: it answers a HEAD request, so it has no body.
+    void reset(bool toHead);
+
+    answer_progress consume(std::string_view bytes);
+
+    /// The sender closed the connection: ends a message that has no length.
+    answer_progress finish();
+
+    const answer_head &head() const;
+
+    /// The framing lets another request follow on the same connection.
+    bool allowsReuse() const;
+
+    /// Some byte of the message has come.
+    bool hasStarted() const;
+
+private:
+    struct state;
+    answer_progress run(const char *data, std::size_t size);
+    std::unique_ptr<state> m_state;
+};
+
+} // namespace fuchsialoom
--- /dev/null
+++ b/packages/http/include/fuchsialoom/http/caller_link.h
@@ -0,0 +1,157 @@
+/// \file
+/// One connection of a caller: reads its requests one at a time, hands each on whole, and writes the
+/// answer. It goes on reading while an answer is made, so that a caller who leaves is noticed at once.
+/// All calls and callbacks are on the thread of the event loop.
+#pragma once
+
+#include "fuchsialoom/http/request_reader.h"
+#include "fuchsialoom/support/time.h"
+
+#include <asio.hpp>
+
+#include <array>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace fuchsialoom
+{
+
+class caller_link;
+
+/// How long a caller may take, and how much it may send. Durations, since they come from a
+/// configuration; each connection makes deadlines of them.
+struct caller_limits
+{
+    request_limits request;
+    milliseconds headTimeout{3000};
+    milliseconds idleTimeout{15000};
+
+    friend bool operator==(const caller_limits &left, const caller_limits &right)
+    {
+        return left.request.headBytes == right.request.headBytes && left.request.bodyBytes == right.request.bodyBytes
+            && left.headTimeout == right.headTimeout && left.idleTimeout == right.idleTimeout;
+    }
+};
+
+/// What the links of one listener have in common.
+struct caller_events
+{
+    /// A whole request came; it is to be answered on the link.
+    std::function<void(const std::shared_ptr<caller_link> &, received_request)> onRequest;
+    /// A connection sent what is no request; it was answered and closed.
+    std::function<void(reading_problem)> onRejected;
+    /// The limits in force, asked for when a connection starts on a request.
+    std::function<const caller_limits &()> limits;
+};
+
+class caller_link : public std::enable_shared_from_this<caller_link>
+{
+public:
+    caller_link(asio::ip::tcp::socket socket, std::shared_ptr<const caller_events> events);
+
+    void start();
+
+    /// Called when the caller has gone before its answer is whole. Replaces an earlier callback.
+    void onGone(std::function<void()> callback);
+
+    /// \name Answering. One request is answered by one respond(), or by startStream(), sendPart() and
+    /// endStream().
+    /// @{
+    void respond(int status, header_list headers, std::string_view body);
+    void startStream(int status, header_list headers);
+    void sendPart(std::string_view bytes);
+    void endStream();
+    /// Closes the connection, so that an answer under way can't look complete.
+    void abort();
+    /// @}
+
+    /// The caller is asked to leave with its next answer; an idle connection lingers until \p idleUntil,
+    /// so that a request on its way is still answered.
+    void drain(instant idleUntil);
+
+    /// A request is being answered, or part of one has come.
+    bool isBusy() const;
+    bool isOpen() const
+    {
+        return !m_closed;
+    }
+
+    /// Bytes of the answer that the caller hasn't taken yet.
+    std::size_t unsentBytes() const
+    {
+        return m_outgoing.size() + m_next.size();
+    }
+
+private:
+    void read();
+    void onBytes(std::string_view bytes);
+    void readRequests();
+    void takeRequest();
+    void reject(reading_problem problem);
+    void sendHead(int status, const header_list &headers, std::string_view framing);
+    void queue(std::string_view bytes);
+    void flush();
+    void onAnswered();
+    void onLost();
+    void watchTime();
+    void onTime();
+    void close();
+
+    asio::ip::tcp::socket m_socket;
+    asio::steady_timer m_timer;
+    std::shared_ptr<const caller_events> m_events;
+    request_reader m_reader;
+    std::string m_buffered; ///< bytes after the request that is being answered; bounded by mostBuffered
+    std::array<char, 8192> m_incoming;
+    std::string m_outgoing; ///< being written
+    std::string m_next; ///< to be written after it
+    std::function<void()> m_onGone;
+    instant m_waitUntil; ///< for the rest of a request, or for the next one
+    bool m_answering = false;
+    bool m_streaming = false;
+    bool m_toHead = false; ///< the request is a HEAD: no body is sent
+    bool m_chunks = true; ///< the stream is sent in chunks; else it ends with the connection
+    bool m_keepAlive = true;
+    bool m_draining = false;
+    bool m_closing = false; ///< to be closed when everything is written
+    bool m_closed = false;
+    bool m_writing = false;
+    bool m_reading = false;
+    bool m_continued = false; ///< leave to send the body was given
+};
+
+/// Accepts the connections of callers and keeps track of them.
+class caller_listener
+{
+public:
+    /// \throws error(InvalidOption) when \p address can't be bound.
+    caller_listener(asio::io_context &loop, const asio::ip::tcp::endpoint &address, caller_events events);
+
+    /// Connections count against \p most; beyond it new ones wait.
+    void start(std::size_t most);
+    void stopAccepting();
+    void drain(instant idleUntil);
+
+    std::size_t openLinks() const;
+    std::size_t busyLinks() const;
+
+private:
+    void accept();
+    void sweep();
+
+    asio::ip::tcp::acceptor m_acceptor;
+    asio::steady_timer m_retry;
+    std::shared_ptr<const caller_events> m_events;
+    std::vector<std::weak_ptr<caller_link>> m_links;
+    std::size_t m_most = 0;
+    std::size_t m_sweepAt = 64; ///< closed links are forgotten when there are as many entries
+    bool m_draining = false;
+    instant m_idleUntil;
+};
+
+/// The reason phrase of \p status.
+std::string_view reasonOf(int status);
+
+} // namespace fuchsialoom
--- /dev/null
+++ b/packages/http/lib/caller_link.cpp
@@ -0,0 +1,466 @@
+/// \file
+/// One connection of a caller.
+#include "fuchsialoom/http/caller_link.h"
+
+#include "fuchsialoom/http/http_link.h"
+
+#include <cassert>
+#include <cstdio>
+
+namespace fuchsialoom
+{
+
+/// A caller that sends on while its request is answered is read up to here, then left waiting.
+static constexpr std::size_t mostBuffered = 65536;
+
+std::string_view reasonOf(int status)
+{
+    switch (status) {
+    case 100:
+        return "Continue";
+    case 200:
+        return "OK";
+    case 400:
+        return "Bad Request";
+    case 404:
+        return "Not Found";
+    case 408:
+        return "Request Timeout";
+    case 413:
+        return "Content Too Large";
+    case 421:
+        return "Misdirected Request";
+    case 429:
+        return "Too Many Requests";
+    case 431:
+        return "Request Header Fields Too Large";
+    case 500:
+        return "Internal Server Error";
+    case 502:
+        return "Bad Gateway";
+    case 503:
+        return "Service Unavailable";
+    case 504:
+        return "Gateway Timeout";
+    default:
+        return "Status";
+    }
+}
+
+caller_link::caller_link(asio::ip::tcp::socket socket, std::shared_ptr<const caller_events> events)
+    : m_socket(std::move(socket))
+    , m_timer(m_socket.get_executor())
+    , m_events(std::move(events))
+    , m_reader(m_events->limits().request)
+    , m_waitUntil(loopNow() + m_events->limits().idleTimeout)
+{
+}
+
+void caller_link::start()
+{
+    asio::error_code ignored; // the option only tunes the connection
+    m_socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    watchTime();
+    read();
+}
+
+void caller_link::onGone(std::function<void()> callback)
+{
+    m_onGone = std::move(callback);
+}
+
+bool caller_link::isBusy() const
+{
+    return m_answering || m_reader.hasStarted() || m_writing || !m_next.empty();
+}
+
+void caller_link::read()
+{
+    if (m_reading || m_closed) {
+        return;
+    }
+    m_reading = true;
+    const auto self = shared_from_this();
+    m_socket.async_read_some(asio::buffer(m_incoming), [self](const asio::error_code &problem, std::size_t size) {
+        self->m_reading = false;
+        if (self->m_closed) {
+            return;
+        }
+        if (problem) {
+            self->onLost();
+            return;
+        }
+        self->onBytes(std::string_view(self->m_incoming.data(), size));
+    });
+}
+
+void caller_link::onBytes(std::string_view bytes)
+{
+    if (m_closing) {
+        // The connection ends with the answer being written; what comes now was not read.
+        read();
+        return;
+    }
+    m_buffered.append(bytes);
+    readRequests();
+    if (m_buffered.size() <= mostBuffered) {
+        read();
+    }
+}
+
+void caller_link::readRequests()
+{
+    if (m_answering || m_closed || m_closing || m_buffered.empty()) {
+        return;
+    }
+    const bool fresh = !m_reader.hasStarted();
+    const std::size_t taken = m_reader.consume(m_buffered);
+    m_buffered.erase(0, taken);
+    if (m_reader.problem() != reading_problem::None) {
+        reject(m_reader.problem());
+        return;
+    }
+    if (m_reader.isComplete()) {
+        takeRequest();
+        return;
+    }
+    if (fresh && m_reader.hasStarted()) {
+        m_waitUntil = loopNow() + m_events->limits().headTimeout;
+        watchTime();
+    }
+    if (m_reader.expectsContinue() && !m_continued) {
+        m_continued = true;
+        queue("HTTP/1.1 100 Continue\r\n\r\n");
+    }
+}
+
+void caller_link::takeRequest()
+{
+    received_request request = m_reader.take();
+    m_answering = true;
+    m_continued = false;
+    m_keepAlive = request.keepAlive;
+    m_chunks = true;
+    m_toHead = request.method == "HEAD";
+    m_waitUntil = farFuture;
+    const auto self = shared_from_this();
+    m_events->onRequest(self, std::move(request));
+}
+
+void caller_link::reject(reading_problem problem)
+{
+    m_answering = true;
+    m_keepAlive = false;
+    if (m_events->onRejected) {
+        m_events->onRejected(problem);
+    }
+    respond(statusOf(problem), {}, {});
+}
+
+void caller_link::sendHead(int status, const header_list &headers, std::string_view framing)
+{
+    const bool closes = m_draining || !m_keepAlive;
+    std::string head = "HTTP/1.1 " + std::to_string(status) + ' ';
+    head.append(reasonOf(status)).append("\r\n");
+    appendFields(head, headers);
+    head.append(framing);
+    if (closes) {
+        head.append("Connection: close\r\n");
+        m_keepAlive = false;
+    }
+    head.append("\r\n");
+    queue(head);
+}
+
+void caller_link::respond(int status, header_list headers, std::string_view body)
+{
+    assert(m_answering && !m_streaming);
+    if (m_closed) {
+        return;
+    }
+    headers.erase("Content-Length");
+    const bool bodiless = status == 204 || status == 304;
+    const std::string framing = bodiless ? std::string() : "Content-Length: " + std::to_string(body.size()) + "\r\n";
+    sendHead(status, headers, framing);
+    if (!m_toHead && !bodiless) {
+        queue(body);
+    }
+    onAnswered();
+}
+
+void caller_link::startStream(int status, header_list headers)
+{
+    assert(m_answering && !m_streaming);
+    if (m_closed) {
+        return;
+    }
+    m_streaming = true;
+    headers.erase("Content-Length");
+    sendHead(status, headers, "Transfer-Encoding: chunked\r\n");
+}
+
+void caller_link::sendPart(std::string_view bytes)
+{
+    assert(m_streaming);
+    if (m_closed || bytes.empty()) {
+        return;
+    }
+    std::array<char, 24> size{};
+    const int written = std::snprintf(size.data(), size.size(), "%zx\r\n", bytes.size());
+    m_next.append(size.data(), static_cast<std::size_t>(written)).append(bytes).append("\r\n");
+    flush();
+}
+
+void caller_link::endStream()
+{
+    assert(m_streaming);
+    if (m_closed) {
+        return;
+    }
+    m_streaming = false;
+    queue("0\r\n\r\n");
+    onAnswered();
+}
+
+void caller_link::abort()
+{
+    m_onGone = nullptr;
+    close();
+}
+
+void caller_link::queue(std::string_view bytes)
+{
+    m_next.append(bytes);
+    flush();
+}
+
+void caller_link::flush()
+{
+    if (m_writing || m_closed || m_next.empty()) {
+        return;
+    }
+    // Mostly the socket takes the bytes at once, which saves a turn of the event loop.
+    asio::error_code problem;
+    m_socket.non_blocking(true, problem);
+    const std::size_t written = m_socket.write_some(asio::buffer(m_next), problem);
+    if (problem && problem != asio::error::would_block) {
+        const auto self = shared_from_this();
+        asio::post(m_socket.get_executor(), [self] {
+            self->onLost();
+        });
+        m_next.clear();
+        m_writing = true; // nothing more is written
+        return;
+    }
+    if (!problem) {
+        m_next.erase(0, written);
+    }
+    if (m_next.empty()) {
+        return;
+    }
+    m_outgoing = std::move(m_next);
+    m_next.clear();
+    m_writing = true;
+    const auto self = shared_from_this();
+    asio::async_write(m_socket, asio::buffer(m_outgoing), [self](const asio::error_code &failed, std::size_t) {
+        self->m_writing = false;
+        self->m_outgoing.clear();
+        if (failed) {
+            self->onLost();
+            return;
+        }
+        self->flush();
+        if (self->m_closing && !self->m_writing) {
+            self->close();
+        }
+    });
+}
+
+void caller_link::onAnswered()
+{
+    // The callback may hold what is answering right now, so it ends after this call has returned.
+    asio::post(m_socket.get_executor(), [ended = std::move(m_onGone)] {});
+    m_onGone = nullptr;
+    m_answering = false;
+    if (!m_keepAlive) {
+        m_closing = true;
+        if (!m_writing) {
+            close();
+        }
+        return;
+    }
+    m_waitUntil = loopNow() + m_events->limits().idleTimeout;
+    watchTime();
+    const auto self = shared_from_this();
+    if (!m_buffered.empty()) {
+        asio::post(m_socket.get_executor(), [self] {
+            self->readRequests();
+            self->read();
+        });
+    }
+}
+
+void caller_link::onLost()
+{
+    if (m_closed) {
+        return;
+    }
+    const auto gone = std::move(m_onGone);
+    m_onGone = nullptr;
+    close();
+    if (gone) {
+        gone();
+    }
+}
+
+void caller_link::watchTime()
+{
+    if (m_timer.expiry().time_since_epoch() == m_waitUntil.time_since_epoch() || m_closed) {
+        return;
+    }
+    const auto self = shared_from_this();
+    m_timer.expires_at(std::chrono::steady_clock::time_point(m_waitUntil.time_since_epoch()));
+    m_timer.async_wait([self](const asio::error_code &problem) {
+        if (!problem) {
+            self->onTime();
+        }
+    });
+}
+
+void caller_link::onTime()
+{
+    if (m_closed || m_answering) {
+        return;
+    }
+    if (loopNow() < m_waitUntil) {
+        watchTime();
+        return;
+    }
+    close();
+}
+
+void caller_link::drain(instant idleUntil)
+{
+    m_draining = true;
+    if (!m_answering && !m_closed) {
+        m_waitUntil = std::min(m_waitUntil, idleUntil);
+        watchTime();
+    }
+}
+
+void caller_link::close()
+{
+    if (m_closed) {
+        return;
+    }
+    m_closed = true;
+    if (m_onGone) {
+        asio::post(m_socket.get_executor(), [ended = std::move(m_onGone)] {});
+        m_onGone = nullptr;
+    }
+    m_timer.cancel();
+    asio::error_code ignored; // the descriptor is gone either way
+    m_socket.close(ignored);
+}
+
+caller_listener::caller_listener(asio::io_context &loop, const asio::ip::tcp::endpoint &address, caller_events events)
+    : m_acceptor(loop)
+    , m_retry(loop)
+    , m_events(std::make_shared<const caller_events>(std::move(events)))
+{
+    m_acceptor.open(address.protocol());
+    m_acceptor.set_option(asio::ip::tcp::acceptor::reuse_address(true));
+    m_acceptor.bind(address);
+    m_acceptor.listen();
+}
+
+void caller_listener::start(std::size_t most)
+{
+    m_most = most;
+    accept();
+}
+
+void caller_listener::accept()
+{
+    if (!m_acceptor.is_open()) {
+        return;
+    }
+    if (m_links.size() >= m_sweepAt) {
+        sweep();
+    }
+    static constexpr milliseconds retryAfter{20};
+    if (m_links.size() >= m_most) {
+        m_retry.expires_after(retryAfter);
+        m_retry.async_wait([this](const asio::error_code &problem) {
+            if (!problem) {
+                sweep();
+                accept();
+            }
+        });
+        return;
+    }
+    m_acceptor.async_accept([this](const asio::error_code &problem, asio::ip::tcp::socket socket) {
+        if (problem == asio::error::operation_aborted || !m_acceptor.is_open()) {
+            return;
+        }
+        if (!problem) {
+            const auto link = std::make_shared<caller_link>(std::move(socket), m_events);
+            m_links.push_back(link);
+            link->start();
+            if (m_draining) {
+                link->drain(m_idleUntil);
+            }
+        }
+        accept();
+    });
+}
+
+void caller_listener::sweep()
+{
+    std::erase_if(m_links, [](const std::weak_ptr<caller_link> &link) {
+        const auto open = link.lock();
+        return !open || !open->isOpen();
+    });
+    static constexpr std::size_t leastSweep = 64;
+    m_sweepAt = std::max(leastSweep, 2 * m_links.size());
+}
+
+void caller_listener::stopAccepting()
+{
+    asio::error_code ignored; // the port is gone either way
+    m_acceptor.close(ignored);
+    m_retry.cancel();
+}
+
+void caller_listener::drain(instant idleUntil)
+{
+    m_draining = true;
+    m_idleUntil = idleUntil;
+    for (const std::weak_ptr<caller_link> &link : m_links) {
+        if (const auto open = link.lock()) {
+            open->drain(idleUntil);
+        }
+    }
+}
+
+std::size_t caller_listener::openLinks() const
+{
+    std::size_t open = 0;
+    for (const std::weak_ptr<caller_link> &link : m_links) {
+        const auto held = link.lock();
+        open += held && held->isOpen() ? 1 : 0;
+    }
+    return open;
+}
+
+std::size_t caller_listener::busyLinks() const
+{
+    std::size_t busy = 0;
+    for (const std::weak_ptr<caller_link> &link : m_links) {
+        const auto held = link.lock();
+        busy += held && held->isOpen() && held->isBusy() ? 1 : 0;
+    }
+    return busy;
+}
+
+} // namespace fuchsialoom
--- /dev/null
+++ b/packages/http/lib/http_link.cpp
@@ -0,0 +1,255 @@
+/// \file
+/// One connection to a server.
+#include "fuchsialoom/http/http_link.h"
+
+#include <netinet/tcp.h>
+
+#include <cassert>
+#include <charconv>
+
+namespace fuchsialoom
+{
+
+/// A server that sends more answers to other requests than this is not waited for.
+static constexpr int mostDroppedAnswers = 2;
+/// A connection isn't used so shortly before its server closes it: one way to the server and back.
+static constexpr milliseconds idleMargin{500};
+/// Unacknowledged bytes older than this end the connection: a server that lost power sends no reset.
+static constexpr int unacknowledgedMs = 3000;
+
+instant loopNow()
+{
+    return instant(std::chrono::duration_cast<microseconds>(std::chrono::steady_clock::now().time_since_epoch()));
+}
+
+static std::chrono::steady_clock::time_point onSteadyClock(instant when)
+{
+    return std::chrono::steady_clock::time_point(when.time_since_epoch());
+}
+
+http_link::http_link(asio::io_context &loop, asio::ip::tcp::endpoint server)
+    : m_socket(loop)
+    , m_connectTimer(loop)
+    , m_server(std::move(server))
+{
+}
+
+void http_link::send(std::string bytes, bool isHead, instant connectBy, link_events events)
+{
+    assert(!m_busy && !m_closed);
+    m_busy = true;
+    m_sent = false;
+    m_isHead = isHead;
+    m_dropped = 0;
+    m_skipping = false;
+    m_exchanges += 1;
+    m_outgoing = std::move(bytes);
+    m_events = std::move(events);
+    m_reader.reset(isHead);
+    if (m_connected) {
+        write();
+    } else {
+        connect(connectBy);
+    }
+}
+
+void http_link::connect(instant connectBy)
+{
+    const auto self = shared_from_this();
+    m_connectTimer.expires_at(onSteadyClock(connectBy));
+    m_connectTimer.async_wait([self](const asio::error_code &problem) {
+        if (!problem && !self->m_connected && !self->m_closed) {
+            self->fail(link_failure::ConnectTimeout);
+        }
+    });
+    m_socket.async_connect(m_server, [self](const asio::error_code &problem) {
+        self->onConnected(problem);
+    });
+}
+
+void http_link::onConnected(const asio::error_code &problem)
+{
+    if (m_closed) {
+        return;
+    }
+    m_connectTimer.cancel();
+    if (problem) {
+        fail(link_failure::Refused);
+        return;
+    }
+    m_connected = true;
+    asio::error_code ignored; // options only tune the connection; it works without them
+    m_socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    using user_timeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+    m_socket.set_option(user_timeout(unacknowledgedMs), ignored);
+    write();
+    read();
+}
+
+void http_link::write()
+{
+    m_sent = true;
+    m_writing = true;
+    const auto self = shared_from_this();
+    asio::async_write(m_socket, asio::buffer(m_outgoing), [self](const asio::error_code &, std::size_t) {
+        // A failed write shows in the read as well, after what the server may have answered before.
+        self->m_writing = false;
+    });
+}
+
+void http_link::read()
+{
+    const auto self = shared_from_this();
+    m_socket.async_read_some(asio::buffer(m_incoming), [self](const asio::error_code &problem, std::size_t size) {
+        if (self->m_closed) {
+            return;
+        }
+        if (problem) {
+            self->onClosed(problem == asio::error::eof);
+            return;
+        }
+        self->onBytes(std::string_view(self->m_incoming.data(), size));
+        if (!self->m_closed) {
+            self->read();
+        }
+    });
+}
+
+void http_link::onBytes(std::string_view bytes)
+{
+    while (!bytes.empty() && !m_closed) {
+        if (!m_busy) {
+            close();
+            return;
+        }
+        answer_progress progress = m_reader.consume(bytes);
+        bytes.remove_prefix(std::min(progress.taken, bytes.size()));
+        // Whatever follows a whole answer belongs to no request of this link.
+        m_tainted = m_tainted || (progress.complete && !bytes.empty());
+        handle(std::move(progress));
+    }
+}
+
+void http_link::onClosed(bool inOrder)
+{
+    if (!m_busy) {
+        close();
+        return;
+    }
+    if (!m_reader.hasStarted() || !inOrder) {
+        fail(link_failure::Reset);
+        return;
+    }
+    answer_progress progress = m_reader.finish();
+    m_tainted = true;
+    if (progress.broken || !progress.complete) {
+        fail(link_failure::Reset);
+        return;
+    }
+    handle(std::move(progress));
+}
+
+void http_link::handle(answer_progress progress)
+{
+    if (progress.broken) {
+        fail(link_failure::Malformed);
+        return;
+    }
+    if (progress.headCame) {
+        m_skipping = m_events.isMine && !m_events.isMine(m_reader.head());
+        if (!m_skipping && m_events.onHead) {
+            m_events.onHead(m_reader.head());
+        }
+    }
+    if (m_closed) {
+        return;
+    }
+    if (!progress.body.empty() && !m_skipping && m_events.onBody) {
+        m_events.onBody(progress.body);
+    }
+    if (m_closed || !progress.complete) {
+        return;
+    }
+    if (!m_skipping) {
+        endExchange();
+        return;
+    }
+    m_tainted = true;
+    m_dropped += 1;
+    if (m_dropped > mostDroppedAnswers || !m_reader.allowsReuse()) {
+        fail(link_failure::WrongAnswer);
+        return;
+    }
+    m_reader.reset(m_isHead);
+}
+
+void http_link::noteIdleTime()
+{
+    m_idleUntil = farFuture;
+    const std::string *keep = m_reader.head().headers.find("Keep-Alive");
+    if (!keep) {
+        return;
+    }
+    static constexpr std::string_view name = "timeout=";
+    const std::size_t at = keep->find(name);
+    if (at == std::string::npos) {
+        return;
+    }
+    int timeout = 0;
+    const char *begin = keep->data() + at + name.size();
+    if (std::from_chars(begin, keep->data() + keep->size(), timeout).ec == std::errc()) {
+        m_idleUntil = loopNow() + seconds(timeout) - idleMargin;
+    }
+}
+
+void http_link::endExchange()
+{
+    noteIdleTime();
+    const bool open = m_reader.allowsReuse() && !m_tainted && !m_writing && !m_reader.head().headers.hasToken("Connection", "close");
+    m_busy = false;
+    const link_events events = std::move(m_events);
+    m_events = {};
+    const auto self = shared_from_this();
+    if (!open) {
+        close();
+    }
+    if (events.onComplete) {
+        events.onComplete();
+    }
+}
+
+void http_link::fail(link_failure how)
+{
+    const link_events events = std::move(m_events);
+    const bool sent = m_sent;
+    const auto self = shared_from_this();
+    close();
+    if (events.onFailure) {
+        events.onFailure(how, sent);
+    }
+}
+
+void http_link::close()
+{
+    m_closed = true;
+    if (m_busy) {
+        // One of the callbacks may be what closes the link, so they are destroyed after it has returned.
+        asio::post(m_socket.get_executor(), [ended = std::move(m_events)] {});
+        m_events = {};
+    }
+    m_busy = false;
+    m_connectTimer.cancel();
+    asio::error_code ignored; // the descriptor is gone either way
+    m_socket.close(ignored);
+}
+
+bool http_link::isReusable()
+{
+    if (m_closed || m_busy || !m_connected || m_tainted || loopNow() >= m_idleUntil) {
+        return false;
+    }
+    asio::error_code problem;
+    return m_socket.available(problem) == 0 && !problem;
+}
+
+} // namespace fuchsialoom
--- /dev/null
+++ b/packages/http/lib/request_reader.cpp
@@ -0,0 +1,298 @@
+/// \file
+/// Strict reading of requests: an own check of the head's lines, then the parser library.
+#include "fuchsialoom/http/request_reader.h"
+
+#include <http_parser.h>
+
+#include <algorithm>
+
+namespace fuchsialoom
+{
+
+static constexpr std::string_view headEnd = "\r\n\r\n";
+
+std::string_view received_request::path() const
+{
+    return std::string_view(target).substr(0, target.find('?'));
+}
+
+int statusOf(reading_problem problem)
+{
+    switch (problem) {
+    case reading_problem::HeadTooLarge:
+        return 431;
+    case reading_problem::BodyTooLarge:
+        return 413;
+    case reading_problem::None:
+    case reading_problem::Malformed:
+    case reading_problem::AmbiguousFraming:
+        break;
+    }
+    return 400;
+}
+
+struct request_reader::state
+{
+    explicit state(request_limits allowed)
+        : limits(allowed)
+    {
+        http_parser_init(&parser, HTTP_REQUEST);
+        parser.data = this;
+    }
+
+    http_parser parser{};
+    request_limits limits;
+    std::string head; ///< bytes of the head, until it is whole
+    bool headWhole = false;
+    bool complete = false;
+    bool valueBegun = false; ///< the field being read has a part of its value
+    std::string fieldName;
+    std::string fieldValue;
+    received_request request;
+    reading_problem problem = reading_problem::None;
+
+    void endField()
+    {
+        if (!fieldName.empty()) {
+            request.headers.add(std::move(fieldName), std::move(fieldValue));
+        }
+        fieldName.clear();
+        fieldValue.clear();
+        valueBegun = false;
+    }
+};
+
+namespace
+{
+
+/// Characters of a field name, RFC 9110 section 5.6.2.
+bool isTokenCharacter(char letter)
+{
+    static constexpr std::string_view marks = "!#$%&'*+-.^_`|~";
+    return (letter >= '0' && letter <= '9') || (letter >= 'a' && letter <= 'z') || (letter >= 'A' && letter <= 'Z')
+        || marks.find(letter) != std::string_view::npos;
+}
+
+bool isControl(char letter)
+{
+    return (static_cast<unsigned char>(letter) < 0x20 && letter != '\t') || letter == 0x7f;
+}
+
+/// No bare line ends, no folded lines, no space before a colon, no control characters.
+bool isCleanLine(std::string_view line, bool first)
+{
+    if (std::any_of(line.begin(), line.end(), isControl)) {
+        return false;
+    }
+    if (first) {
+        return !line.empty() && line.front() != ' ';
+    }
+    const std::size_t colon = line.find(':');
+    return colon != std::string_view::npos && colon > 0 && std::all_of(line.begin(), line.begin() + colon, isTokenCharacter);
+}
+
+bool isCleanHead(std::string_view head)
+{
+    bool first = true;
+    while (!head.empty()) {
+        const std::size_t end = head.find("\r\n");
+        if (end == 0) {
+            return !first;
+        }
+        if (!isCleanLine(head.substr(0, end), first)) {
+            return false;
+        }
+        first = false;
+        head.remove_prefix(end + 2);
+    }
+    return false;
+}
+
+bool isAllDigits(const std::string &text)
+{
+    return !text.empty() && text.size() < 19 && std::all_of(text.begin(), text.end(), [](char letter) {
+        return letter >= '0' && letter <= '9';
+    });
+}
+
+/// Whether every reader frames the body alike.
+bool isUnambiguous(const header_list &headers, bool isHttp11)
+{
+    const std::string *length = headers.find("Content-Length");
+    const std::string *coding = headers.find("Transfer-Encoding");
+    if (length && coding) {
+        return false;
+    }
+    if (length) {
+        return headers.count("Content-Length") == 1 && isAllDigits(*length);
+    }
+    if (coding) {
+        return isHttp11 && headers.count("Transfer-Encoding") == 1 && sameFieldName(*coding, "chunked");
+    }
+    return true;
+}
+
+} // namespace
+
+/// The callbacks of the parser library, which know the reader through its `data` pointer.
+struct request_callbacks
+{
+    template<typename State>
+    static State &of(http_parser *parser)
+    {
+        return *static_cast<State *>(parser->data);
+    }
+};
+
+request_reader::request_reader(request_limits limits)
+    : m_state(std::make_unique<state>(limits))
+{
+}
+
+request_reader::~request_reader() = default;
+
+bool request_reader::isComplete() const
+{
+    return m_state->complete;
+}
+
+reading_problem request_reader::problem() const
+{
+    return m_state->problem;
+}
+
+bool request_reader::hasStarted() const
+{
+    return m_state->headWhole || !m_state->head.empty();
+}
+
+bool request_reader::expectsContinue() const
+{
+    return m_state->headWhole && !m_state->complete && m_state->request.headers.hasToken("Expect", "100-continue");
+}
+
+received_request request_reader::take()
+{
+    received_request taken = std::move(m_state->request);
+    const request_limits limits = m_state->limits;
+    m_state = std::make_unique<state>(limits);
+    return taken;
+}
+
+std::size_t request_reader::consume(std::string_view bytes)
+{
+    state &self = *m_state;
+    static const http_parser_settings settings = [] {
+        http_parser_settings made;
+        http_parser_settings_init(&made);
+        made.on_url = [](http_parser *parser, const char *at, std::size_t length) {
+            request_callbacks::of<state>(parser).request.target.append(at, length);
+            return 0;
+        };
+        made.on_header_field = [](http_parser *parser, const char *at, std::size_t length) {
+            state &reader = request_callbacks::of<state>(parser);
+            if (reader.valueBegun) {
+                reader.endField();
+            }
+            reader.fieldName.append(at, length);
+            return 0;
+        };
+        made.on_header_value = [](http_parser *parser, const char *at, std::size_t length) {
+            state &reader = request_callbacks::of<state>(parser);
+            reader.valueBegun = true;
+            reader.fieldValue.append(at, length);
+            return 0;
+        };
+        made.on_headers_complete = [](http_parser *parser) {
+            state &reader = request_callbacks::of<state>(parser);
+            reader.endField();
+            reader.request.method = http_method_str(static_cast<http_method>(parser->method));
+            reader.request.keepAlive = http_should_keep_alive(parser) != 0;
+            // The connection stays HTTP/1.1, whatever the caller offers.
+            parser->upgrade = 0;
+            const header_list &headers = reader.request.headers;
+            const bool isHttp11 = parser->http_major == 1 && parser->http_minor == 1;
+            if (parser->http_major != 1 || parser->method == HTTP_CONNECT || headers.count("Host") != 1
+                || !reader.request.target.starts_with('/')) {
+                reader.problem = reading_problem::Malformed;
+                return -1;
+            }
+            if (!isUnambiguous(headers, isHttp11)) {
+                reader.problem = reading_problem::AmbiguousFraming;
+                return -1;
+            }
+            if (parser->content_length != ULLONG_MAX && parser->content_length > reader.limits.bodyBytes) {
+                reader.problem = reading_problem::BodyTooLarge;
+                return -1;
+            }
+            return 0;
+        };
+        made.on_body = [](http_parser *parser, const char *at, std::size_t length) {
+            state &reader = request_callbacks::of<state>(parser);
+            if (reader.request.body.size() + length > reader.limits.bodyBytes) {
+                reader.problem = reading_problem::BodyTooLarge;
+                return -1;
+            }
+            reader.request.body.append(at, length);
+            return 0;
+        };
+        made.on_message_complete = [](http_parser *parser) {
+            request_callbacks::of<state>(parser).complete = true;
+            http_parser_pause(parser, 1);
+            return 0;
+        };
+        return made;
+    }();
+
+    const auto parse = [&self](std::string_view text) {
+        const std::size_t parsed = http_parser_execute(&self.parser, &settings, text.data(), text.size());
+        const http_errno result = HTTP_PARSER_ERRNO(&self.parser);
+        if (result != HPE_OK && !self.complete && self.problem == reading_problem::None) {
+            self.problem = result == HPE_UNEXPECTED_CONTENT_LENGTH ? reading_problem::AmbiguousFraming : reading_problem::Malformed;
+        }
+        return parsed;
+    };
+
+    if (self.complete || self.problem != reading_problem::None) {
+        return 0;
+    }
+    if (self.headWhole) {
+        return parse(bytes);
+    }
+    const std::size_t before = self.head.size();
+    self.head.append(bytes);
+    // Empty lines before a request are allowed, RFC 9112 section 2.2.
+    std::size_t skipped = 0;
+    while (self.head.compare(0, 2, "\r\n") == 0) {
+        self.head.erase(0, 2);
+        skipped += 2;
+    }
+    const std::size_t searchFrom = before > headEnd.size() ? before - headEnd.size() : 0;
+    const std::size_t end = self.head.find(headEnd, searchFrom);
+    if (end == std::string::npos) {
+        if (self.head.size() > self.limits.headBytes) {
+            self.problem = reading_problem::HeadTooLarge;
+        }
+        return bytes.size();
+    }
+    const std::size_t headSize = end + headEnd.size();
+    if (headSize > self.limits.headBytes) {
+        self.problem = reading_problem::HeadTooLarge;
+        return bytes.size();
+    }
+    const std::size_t taken = headSize + skipped - before;
+    self.head.resize(headSize);
+    self.headWhole = true;
+    if (!isCleanHead(self.head)) {
+        self.problem = reading_problem::Malformed;
+        return taken;
+    }
+    parse(self.head);
+    self.head.clear();
+    if (self.complete || self.problem != reading_problem::None) {
+        return taken;
+    }
+    return taken + parse(bytes.substr(taken));
+}
+
+} // namespace fuchsialoom
--- a/packages/node/include/fuchsialoom/node/process_options.h
+++ b/packages/node/include/fuchsialoom/node/process_options.h
@@ -33,6 +33,7 @@
     std::optional<tls_files> tls; ///< nothing: plain HTTP towards callers
     milliseconds drain{0};
     log_level logLevel = log_level::Events;
+    std::string config; ///< settings file of the users' platform; empty: no such platform
 };
 
 enum class options_request {
--- a/packages/node/lib/process_options.cpp
+++ b/packages/node/lib/process_options.cpp
@@ -222,6 +222,7 @@
     options.tls = parseTls(texts.tlsCert, texts.tlsKey);
     options.drain = milliseconds(parseCount("drain-ms", texts.drainMs, 0, longestDrainMs));
     options.logLevel = parseLogLevel(texts.logLevel);
+    options.config = texts.config;
     return options;
 }
 
--- a/tools/fuchsialoomd/main.cpp
+++ b/tools/fuchsialoomd/main.cpp
@@ -1,6 +1,8 @@
 /// \file
-/// The process on every entry VM: a thin main over the node package.
+/// The process on every entry VM: a thin main over the node package, or over the users' platform.
 #include "fuchsialoom/node/node.h"
+#include "fuchsialoom/platform/platform_node.h"
+#include "fuchsialoom/platform/platform_settings.h"
 
 #include "fuchsialoom/support/errors.h"
 #include "fuchsialoom/wire/http_server.h"
@@ -23,11 +25,18 @@
             std::cout << versionText() << '\n';
             return 0;
         case options_request::CheckSettings:
+            if (!parsed.options.config.empty()) {
+                readPlatformSettings(parsed.options.config);
+            }
             makeServer(parsed.options.tls);
             std::cout << "settings are valid\n";
             return 0;
         case options_request::Run:
             configureLog(parsed.options.logLevel);
+            if (!parsed.options.config.empty()) {
+                runPlatformNode(parsed.options.config);
+                return 0;
+            }
             runNode(parsed.options);
             return 0;
         }
