Duty: one holder orders what engines hold; VMs tell each other their load

Ruled out: the store's consumer groups as the lease (they take partitions away without telling the holder); a holder for each failure domain (one that is cut off from the platform can't prove its lease either).

--- /dev/null
+++ b/packages/gateway/include/fuchsialoom/gateway/demand_view.h
@@ -0,0 +1,47 @@
+/// \file
+/// What all VMs are asked for, by model, from their digests; smoothed, so that a plan follows a shift of
+/// demand within a second or two and not every request. Sans-I/O.
+#pragma once
+
+#include "fuchsialoom/gateway/peer_digest.h"
+
+#include <map>
+#include <vector>
+
+namespace fuchsialoom
+{
+
+struct model_streams
+{
+    double now = 0; ///< requests that run or wait, smoothed over about a second
+    double remembered = 0; ///< the most of late, fading: guards copies after a burst
+    std::uint32_t waiting = 0; ///< at all VMs, as last told
+};
+
+class demand_view
+{
+public:
+    /// \p vm's word, in place of its earlier one.
+    void tell(instant now, const vm_id &vm, const std::vector<demand_entry> &demand);
+
+    /// To be called a few times a second.
+    void advance(instant now);
+
+    const std::map<model_id, model_streams> &models() const
+    {
+        return m_models;
+    }
+
+private:
+    struct teller
+    {
+        std::map<model_id, demand_entry> demand;
+        instant heardAt{};
+    };
+
+    std::map<vm_id, teller> m_tellers;
+    std::map<model_id, model_streams> m_models;
+    instant m_advancedAt{};
+};
+
+} // namespace fuchsialoom
--- a/packages/gateway/include/fuchsialoom/gateway/gateway.h
+++ b/packages/gateway/include/fuchsialoom/gateway/gateway.h
@@ -7,6 +7,7 @@
 #include "fuchsialoom/core/admission_queue.h"
 #include "fuchsialoom/gateway/decision_log.h"
 #include "fuchsialoom/gateway/link_pool.h"
+#include "fuchsialoom/gateway/peer_digest.h"
 #include "fuchsialoom/gateway/request_facts.h"
 #include "fuchsialoom/gateway/retry_rules.h"
 #include "fuchsialoom/gateway/routes.h"
@@ -60,22 +61,13 @@
     std::uint64_t seed = 1; ///< of the choices between equals
 };
 
-/// What a VM's requests ask for, since its start; rates are made from differences.
+/// What a VM's requests ask for: arrivals since its start, and what waits and runs now.
 struct model_demand
 {
     std::uint64_t arrivals = 0;
     std::uint32_t waiting = 0;
     std::uint32_t running = 0;
-};
-
-/// An adapter that requests wait for.
-struct wanted_adapter
-{
-    service_id service;
-    model_id model;
-    adapter_id adapter;
-
-    friend auto operator<=>(const wanted_adapter &, const wanted_adapter &) = default;
+    std::map<adapter_id, instant> adapters; ///< asked for, and when last
 };
 
 struct gateway_counters
@@ -120,15 +112,14 @@
     void setLiveVms(std::size_t live);
 
     /// Called when a request waits for an adapter that no target with room holds.
-    void onWantedAdapter(std::function<void(const wanted_adapter &)> callback)
+    void onWantedAdapter(std::function<void(const adapter_want &)> callback)
     {
         m_onWantedAdapter = std::move(callback);
     }
 
-    std::map<model_id, model_demand> demand() const
-    {
-        return m_demand;
-    }
+    /// For the digest: models with anything new, and the adapters asked for since \p since.
+    std::vector<demand_entry> demandSince(instant since) const;
+
     const gateway_counters &counters() const
     {
         return m_counters;
@@ -160,7 +151,7 @@
     std::map<request_id, std::shared_ptr<exchange>> m_queued; ///< by the serial that the queue knows
     std::map<service_id, shared_budget> m_budgets;
     std::map<model_id, model_demand> m_demand;
-    std::function<void(const wanted_adapter &)> m_onWantedAdapter;
+    std::function<void(const adapter_want &)> m_onWantedAdapter;
     asio::steady_timer m_queueTimer;
     bool m_queueTimerArmed = false;
     bool m_pumping = false;
--- /dev/null
+++ b/packages/gateway/include/fuchsialoom/gateway/residency_duty.h
@@ -0,0 +1,100 @@
+/// \file
+/// The duty of ordering what targets hold, as every VM carries it: the lease, and for its holder the
+/// demand, the plan and the orders. Whoever hosts it does the calls that it asks for.
+#pragma once
+
+#include "fuchsialoom/gateway/demand_view.h"
+#include "fuchsialoom/gateway/duty_lease.h"
+#include "fuchsialoom/gateway/gateway.h"
+#include "fuchsialoom/gateway/residency_keeper.h"
+
+#include <functional>
+#include <optional>
+
+namespace fuchsialoom
+{
+
+/// Calls of the host. Each answers later, by one of residency_duty's on...() functions.
+struct duty_calls
+{
+    std::function<void()> readLease;
+    std::function<void(const lease_record &record, std::uint64_t onlyAt)> appendLease;
+    std::function<void(const residency_order &order, std::uint64_t fence)> sendOrder;
+    std::function<void(const target_id &target)> askReport;
+    std::function<void(const std::vector<residency_news> &news)> tellNews; ///< to all VMs, this one among them
+    /// The clock that runs on while the VM is suspended.
+    std::function<instant()> suspendedClock;
+};
+
+class residency_duty
+{
+public:
+    residency_duty(lease_options options, load_limits limits, gateway &requests, decision_log &log, duty_calls calls);
+
+    /// To be called every tenth of a second or so.
+    void tick();
+
+    /// Lets go for good; \return whether a record of it is on its way.
+    bool release();
+    bool isReleased() const
+    {
+        return m_lease.isReleased();
+    }
+
+    /// \name Word of the VMs, this one among them.
+    /// @{
+    void onDemand(const vm_id &vm, const std::vector<demand_entry> &demand);
+    void onWant(const adapter_want &want);
+    void onHolderHeard();
+    /// @}
+
+    /// \name Answers of the host. Instants are of the clock that runs on.
+    /// @{
+    void onLeaseRead(instant askedAt, std::uint64_t end, const std::optional<lease_record> &newest, std::uint64_t offset);
+    void onLeaseReadFailed();
+    void onLeaseAppended(std::uint64_t offset);
+    void onLeaseMoved();
+    void onLeaseAppendFailed(bool unknown);
+    void onOrdered(const residency_order &order, order_result result);
+    void onReport(const target_id &target, const engine_report &report);
+    void onReportFailed(const target_id &target);
+    /// @}
+
+    /// The fence under which this VM orders, while it holds the lease.
+    std::optional<std::uint64_t> fence() const;
+
+    const residency_keeper &keeper() const
+    {
+        return m_keeper;
+    }
+
+private:
+    instant clock() const
+    {
+        return m_calls.suspendedClock();
+    }
+    void pursueLease();
+    void noteHolding();
+    void step();
+    void plan(instant now);
+
+    gateway &m_gateway;
+    decision_log &m_log;
+    duty_calls m_calls;
+    duty_lease m_lease;
+    residency_keeper m_keeper;
+    demand_view m_demand;
+    bool m_wasHolder = false;
+    bool m_mayOrder = false; ///< as last seen, to tell of changes
+    instant m_planAt{};
+    std::optional<instant> m_lastOrder; ///< on the clock that runs on
+};
+
+/// The placement wanted of \p service's engines by what is asked of their models.
+wanted_placement planResidency(const service_id &service,
+                               const engine_traits &traits,
+                               const target_pool &pool,
+                               const residency_keeper &keeper,
+                               const demand_view &demand);
+
+} // namespace fuchsialoom
--- a/packages/gateway/include/fuchsialoom/gateway/residency_keeper.h
+++ b/packages/gateway/include/fuchsialoom/gateway/residency_keeper.h
@@ -98,7 +98,7 @@
 
     void setPlan(const service_id &service, wanted_placement plan);
 
-    void onReport(instant askedAt, instant now, const target_id &target, const engine_report &report);
+    void onReport(instant now, const target_id &target, const engine_report &report);
     void onReportFailed(instant now, const target_id &target);
     void onOrdered(instant now, const residency_order &order, order_result result);
 
@@ -130,6 +130,7 @@
         std::vector<held_model> models;
         std::set<model_id> atHand;
         std::optional<residency_order> sent; ///< handed out, without an answer yet
+        std::optional<instant> resendAt; ///< its answer was lost: it is handed out again then
         std::optional<residency_order> loading; ///< accepted, its effect not yet reported
         instant loadingSince{};
         instant askAt{}; ///< the next report isn't asked for before
@@ -151,7 +152,8 @@
     bool serveWant(instant now, const target_pool &pool, const adapter_want &want, residency_steps &steps);
     void followPlan(instant now, const target_pool &pool, residency_steps &steps);
     bool startLoad(instant now, const target_pool &pool, const wanted_load &load, residency_steps &steps);
-    bool makeRoom(instant now, const target_pool &pool, engine &at, const target_id &id, const wanted_target *wanted, residency_steps &steps);
+    bool
+    makeRoom(instant now, const target_pool &pool, engine &at, const target_id &id, const wanted_target *wanted, residency_steps &steps);
     void retire(instant now, const target_pool &pool, residency_steps &steps);
     void askReports(instant now, residency_steps &steps);
     void apply(engine &at, const residency_order &order);
@@ -160,7 +162,7 @@
     double megabytesOf(const engine &at, const engine_traits &traits) const;
     std::size_t adaptersOf(const engine &at) const;
     std::size_t certainCopies(const model_id &model, const target_id &except, const target_pool &pool) const;
-    const adapter_key *leastUsed(const engine &at) const;
+    std::optional<adapter_key> leastUsed(const engine &at) const;
 
     load_limits m_limits;
     decision_log &m_log;
--- a/packages/gateway/lib/duty_lease.cpp
+++ b/packages/gateway/lib/duty_lease.cpp
@@ -60,7 +60,11 @@
     m_seenEnd.reset();
 }
 
-void duty_lease::onRead(instant askedAt, instant now, std::uint64_t end, const std::optional<lease_record> &newest, std::uint64_t newestOffset)
+void duty_lease::onRead(instant askedAt,
+                        instant now,
+                        std::uint64_t end,
+                        const std::optional<lease_record> &newest,
+                        std::uint64_t newestOffset)
 {
     m_busy = false;
     m_mustRead = false;
--- a/packages/gateway/lib/gateway.cpp
+++ b/packages/gateway/lib/gateway.cpp
@@ -80,7 +80,11 @@
     if (!one->m_counted) {
         one->m_counted = true;
         budgetOf(one->m_service).countRequest(loopNow());
-        m_demand[facts.model].arrivals += 1;
+        model_demand &demand = m_demand[facts.model];
+        demand.arrivals += 1;
+        if (!facts.adapter.empty()) {
+            demand.adapters[facts.adapter] = loopNow();
+        }
     }
     m_demand[facts.model].waiting += 1;
     m_queue.push(one->queueEntry());
@@ -118,6 +122,25 @@
     return false;
 }
 
+std::vector<demand_entry> gateway::demandSince(instant since) const
+{
+    std::vector<demand_entry> entries;
+    for (const auto &[model, demand] : m_demand) {
+        if (model.empty()) {
+            continue;
+        }
+        if (demand.waiting + demand.running > 0) {
+            entries.push_back({model, {}, demand.arrivals, demand.waiting, demand.running});
+        }
+        for (const auto &[adapter, askedAt] : demand.adapters) {
+            if (askedAt > since) {
+                entries.push_back({model, adapter, 0, 0, 0});
+            }
+        }
+    }
+    return entries;
+}
+
 void gateway::pump()
 {
     if (m_pumping) {
--- a/packages/gateway/lib/peer_exchange.cpp
+++ b/packages/gateway/lib/peer_exchange.cpp
@@ -168,7 +168,8 @@
     one.heardAt = now;
     if (!one.live) {
         one.live = true;
-        m_log.write(now, log_line("peer-heard").with("peer", one.vm).with("address", toText(address)).with("new", restarted ? "yes" : "no"));
+        m_log.write(now,
+                    log_line("peer-heard").with("peer", one.vm).with("address", toText(address)).with("new", restarted ? "yes" : "no"));
         noteLiveCount();
     }
     for (const endpoint &known : digest->peers) {
--- /dev/null
+++ b/packages/gateway/lib/residency_duty.cpp
@@ -0,0 +1,194 @@
+/// \file
+/// The duty of ordering what targets hold.
+#include "fuchsialoom/gateway/residency_duty.h"
+
+namespace fuchsialoom
+{
+
+/// Between two plans. Demand is smoothed over 0.6 s, and a load takes 0.4 s or more.
+static constexpr milliseconds planEvery{400};
+
+residency_duty::residency_duty(lease_options options, load_limits limits, gateway &requests, decision_log &log, duty_calls calls)
+    : m_gateway(requests)
+    , m_log(log)
+    , m_calls(std::move(calls))
+    , m_lease(std::move(options), m_calls.suspendedClock())
+    , m_keeper(limits, log)
+{
+}
+
+std::optional<std::uint64_t> residency_duty::fence() const
+{
+    return m_lease.isHolder(clock()) ? std::optional(m_lease.fence()) : std::nullopt;
+}
+
+void residency_duty::pursueLease()
+{
+    switch (m_lease.tick(clock())) {
+    case lease_action::None:
+        break;
+    case lease_action::Read:
+        m_calls.readLease();
+        break;
+    case lease_action::Append:
+        m_calls.appendLease(m_lease.nextRecord(), m_lease.end());
+        break;
+    }
+}
+
+void residency_duty::noteHolding()
+{
+    const instant now = clock();
+    const bool holder = m_lease.isHolder(now);
+    const bool mayOrder = m_lease.mayOrder(now);
+    if (holder == m_wasHolder && mayOrder == m_mayOrder) {
+        return;
+    }
+    const auto wait = std::chrono::duration_cast<milliseconds>(m_lease.orderFrom() - now);
+    m_log.write(loopNow(),
+                log_line("duty")
+                    .with("holder", holder ? "yes" : "no")
+                    .with("orders", mayOrder ? "yes" : "no")
+                    .with("fence", m_lease.fence())
+                    .with("orders-in-ms", mayOrder ? milliseconds(0) : wait));
+    if (mayOrder && !m_mayOrder) {
+        // Others may have ordered since this VM last knew what engines hold.
+        m_keeper.reset();
+    }
+    m_wasHolder = holder;
+    m_mayOrder = mayOrder;
+}
+
+void residency_duty::tick()
+{
+    pursueLease();
+    noteHolding();
+    if (!m_mayOrder || !m_gateway.isConfigured()) {
+        return;
+    }
+    const instant now = loopNow();
+    for (const auto &[service, traits] : m_gateway.configuration().services) {
+        if (traits.engine) {
+            m_keeper.setTraits(service, *traits.engine);
+        }
+    }
+    m_demand.advance(now);
+    if (now >= m_planAt) {
+        m_planAt = now + planEvery;
+        plan(now);
+    }
+    step();
+}
+
+void residency_duty::plan(instant)
+{
+    for (const auto &[service, traits] : m_gateway.configuration().services) {
+        if (traits.engine) {
+            m_keeper.setPlan(service, planResidency(service, *traits.engine, m_gateway.pool(), m_keeper, m_demand));
+        }
+    }
+}
+
+void residency_duty::step()
+{
+    noteHolding();
+    if (!m_mayOrder) {
+        return;
+    }
+    const residency_steps steps = m_keeper.step(loopNow(), m_gateway.pool());
+    if (!steps.news.empty()) {
+        m_calls.tellNews(steps.news);
+    }
+    for (const target_id &target : steps.reports) {
+        m_calls.askReport(target);
+    }
+    for (const residency_order &order : steps.orders) {
+        const instant now = clock();
+        if (!m_lease.mayOrder(now)) {
+            m_keeper.onOrdered(loopNow(), order, order_result::Unknown);
+            continue;
+        }
+        m_lastOrder = now;
+        m_calls.sendOrder(order, m_lease.fence());
+    }
+}
+
+bool residency_duty::release()
+{
+    m_lease.release(clock(), m_lastOrder);
+    pursueLease();
+    noteHolding();
+    return !m_lease.isReleased();
+}
+
+void residency_duty::onDemand(const vm_id &vm, const std::vector<demand_entry> &demand)
+{
+    const instant now = loopNow();
+    m_demand.tell(now, vm, demand);
+    for (const demand_entry &entry : demand) {
+        if (!entry.adapter.empty()) {
+            m_keeper.used(now, entry.model, entry.adapter);
+        }
+    }
+}
+
+void residency_duty::onWant(const adapter_want &want)
+{
+    if (m_mayOrder) {
+        m_keeper.want(loopNow(), want);
+        step();
+    }
+}
+
+void residency_duty::onHolderHeard()
+{
+    m_lease.onHolderHeard(clock());
+}
+
+void residency_duty::onLeaseRead(instant askedAt, std::uint64_t end, const std::optional<lease_record> &newest, std::uint64_t offset)
+{
+    m_lease.onRead(askedAt, clock(), end, newest, offset);
+    pursueLease();
+}
+
+void residency_duty::onLeaseReadFailed()
+{
+    m_lease.onReadFailed(clock());
+}
+
+void residency_duty::onLeaseAppended(std::uint64_t offset)
+{
+    m_lease.onAppended(clock(), offset);
+    noteHolding();
+}
+
+void residency_duty::onLeaseMoved()
+{
+    m_lease.onMoved(clock());
+    m_log.write(loopNow(), log_line("duty-log-moved").with("fence", m_lease.fence()));
+    pursueLease();
+}
+
+void residency_duty::onLeaseAppendFailed(bool unknown)
+{
+    m_lease.onAppendFailed(clock(), unknown);
+}
+
+void residency_duty::onOrdered(const residency_order &order, order_result result)
+{
+    m_keeper.onOrdered(loopNow(), order, result);
+    step();
+}
+
+void residency_duty::onReport(const target_id &target, const engine_report &report)
+{
+    m_keeper.onReport(loopNow(), target, report);
+    step();
+}
+
+void residency_duty::onReportFailed(const target_id &target)
+{
+    m_keeper.onReportFailed(loopNow(), target);
+}
+
+} // namespace fuchsialoom
--- a/packages/gateway/lib/residency_keeper.cpp
+++ b/packages/gateway/lib/residency_keeper.cpp
@@ -7,6 +7,8 @@
 namespace fuchsialoom
 {
 
+/// An order whose answer was lost is sent again after this.
+static constexpr milliseconds resendPause{150};
 /// From an adapter's order until requests are sent there: a load takes 5 to 10 ms, and a request that
 /// comes before its end is refused.
 static constexpr milliseconds adapterSettle{25};
@@ -94,7 +96,7 @@
     return found == traits.models.end() ? nullptr : &*found;
 }
 
-void residency_keeper::onReport(instant, instant now, const target_id &target, const engine_report &report)
+void residency_keeper::onReport(instant now, const target_id &target, const engine_report &report)
 {
     const auto found = m_engines.find(target);
     if (found == m_engines.end()) {
@@ -188,7 +190,7 @@
     engine &at = found->second;
     switch (result) {
     case order_result::Unknown:
-        // Sent again, unchanged, by the next step.
+        at.resendAt = now + resendPause;
         return;
     case order_result::Conflict:
     case order_result::Refused:
@@ -270,19 +272,17 @@
     steps.orders.push_back(std::move(order));
 }
 
-const residency_keeper::adapter_key *residency_keeper::leastUsed(const engine &at) const
+std::optional<residency_keeper::adapter_key> residency_keeper::leastUsed(const engine &at) const
 {
-    const adapter_key *least = nullptr;
+    std::optional<adapter_key> least;
     instant leastAt = farFuture;
     for (const held_model &held : at.models) {
         for (const adapter_id &adapter : held.adapters) {
-            static thread_local std::vector<adapter_key> found(1);
             const auto known = m_used.find({held.model, adapter});
             const instant usedAt = known == m_used.end() ? instant{} : known->second;
             if (usedAt < leastAt) {
                 leastAt = usedAt;
-                found[0] = {held.model, adapter};
-                least = &found[0];
+                least = adapter_key(held.model, adapter);
             }
         }
     }
@@ -323,7 +323,7 @@
     }
     const pool_target &target = *pool.find(bestId);
     if (adaptersOf(*best) >= traits->second.adapterSlots) {
-        const adapter_key *out = leastUsed(*best);
+        const std::optional<adapter_key> out = leastUsed(*best);
         const auto known = out ? m_used.find(*out) : m_used.end();
         if (!out || (known != m_used.end() && now - known->second < adapterInUse)) {
             return false;
@@ -483,12 +483,12 @@
     residency_steps steps;
     syncEngines(pool);
     for (auto &[id, at] : m_engines) {
-        if (at.sent) {
-            // Handed out before and not answered: once more, the same.
+        if (at.sent && at.resendAt && now >= *at.resendAt) {
+            at.resendAt.reset();
+            m_lastOrder = now;
             steps.orders.push_back(*at.sent);
         }
     }
-    const std::size_t repeated = steps.orders.size();
     serveWants(now, pool, steps);
     retire(now, pool, steps);
     followPlan(now, pool, steps);
@@ -501,7 +501,6 @@
     std::erase_if(m_due, [now](const due_news &due) {
         return due.at <= now;
     });
-    m_lastOrder = repeated > 0 ? std::optional(now) : m_lastOrder;
     return steps;
 }
 
