--- a/packages/gateway/include/fuchsialoom/gateway/gateway.h
+++ b/packages/gateway/include/fuchsialoom/gateway/gateway.h
@@ -61,13 +61,19 @@
     std::uint64_t seed = 1; ///< of the choices between equals
 };
 
+struct adapter_demand
+{
+    instant askedAt{}; ///< last
+    std::uint32_t running = 0;
+};
+
 /// What a VM's requests ask for: arrivals since its start, and what waits and runs now.
 struct model_demand
 {
     std::uint64_t arrivals = 0;
     std::uint32_t waiting = 0;
     std::uint32_t running = 0;
-    std::map<adapter_id, instant> adapters; ///< asked for, and when last
+    std::map<adapter_id, adapter_demand> adapters;
 };
 
 struct gateway_counters
@@ -106,6 +112,12 @@
         return m_pool;
     }
 
+    /// From now on every new request is refused: this VM stops, and others serve on.
+    void refuseNew()
+    {
+        m_refusesNew = true;
+    }
+
     /// Something changed that may let queued requests go.
     void pump();
 
@@ -154,6 +166,7 @@
     std::function<void(const adapter_want &)> m_onWantedAdapter;
     asio::steady_timer m_queueTimer;
     bool m_queueTimerArmed = false;
+    bool m_refusesNew = false;
     bool m_pumping = false;
     bool m_pumpAgain = false;
     std::size_t m_liveVms = 1;
--- a/packages/gateway/include/fuchsialoom/gateway/residency_keeper.h
+++ b/packages/gateway/include/fuchsialoom/gateway/residency_keeper.h
@@ -30,7 +30,7 @@
     std::uint64_t orderCount = 0; ///< orders that it has accepted since its start
     bool busy = false; ///< a model is being loaded or unloaded
     std::vector<held_model> models;
-    std::uint32_t pendingAdapters = 0; ///< on their way to the engine
+    std::vector<std::pair<model_id, adapter_id>> pending; ///< adapters on their way to the engine
     std::set<model_id> atHand; ///< models whose weights are in its memory or on its disk
 };
 
@@ -94,7 +94,7 @@
     /// Requests wait for an adapter.
     void want(instant now, const adapter_want &want);
     /// Requests named an adapter, so that it isn't the next to make way.
-    void used(instant now, const model_id &model, const adapter_id &adapter);
+    void used(instant now, const model_id &model, const adapter_id &adapter, std::uint32_t running = 0);
 
     void setPlan(const service_id &service, wanted_placement plan);
 
@@ -120,6 +120,14 @@
     bool isReported(const target_id &target) const;
 
 private:
+    using adapter_key = std::pair<model_id, adapter_id>;
+
+    struct adapter_use
+    {
+        instant askedAt{}; ///< a request named it then
+        instant runningAt{}; ///< some request with it was told to run then
+    };
+
     struct engine
     {
         service_id service;
@@ -129,6 +137,9 @@
         bool busy = false;
         std::vector<held_model> models;
         std::set<model_id> atHand;
+        /// Adapters whose unload waits for their runs, and when it was accepted: they take a place until
+        /// they are gone for certain.
+        std::map<adapter_key, instant> departing;
         std::optional<residency_order> sent; ///< handed out, without an answer yet
         std::optional<instant> resendAt; ///< its answer was lost: it is handed out again then
         std::optional<residency_order> loading; ///< accepted, its effect not yet reported
@@ -144,8 +155,6 @@
         residency_news news;
     };
 
-    using adapter_key = std::pair<model_id, adapter_id>;
-
     void syncEngines(const target_pool &pool);
     void handOut(instant now, engine &at, residency_order order, residency_steps &steps);
     void serveWants(instant now, const target_pool &pool, residency_steps &steps);
@@ -162,14 +171,15 @@
     double megabytesOf(const engine &at, const engine_traits &traits) const;
     std::size_t adaptersOf(const engine &at) const;
     std::size_t certainCopies(const model_id &model, const target_id &except, const target_pool &pool) const;
-    std::optional<adapter_key> leastUsed(const engine &at) const;
+    /// The adapter that can make way at once: the one asked for least lately, of those that nothing uses.
+    std::optional<adapter_key> leastUsed(instant now, const engine &at) const;
 
     load_limits m_limits;
     decision_log &m_log;
     std::map<service_id, engine_traits> m_traits;
     std::map<target_id, engine> m_engines;
     std::map<adapter_want, instant> m_wants; ///< and until when each holds
-    std::map<adapter_key, instant> m_used; ///< when each adapter was last asked for
+    std::map<adapter_key, adapter_use> m_used;
     std::map<service_id, wanted_placement> m_plans;
     std::deque<instant> m_loadStarts; ///< of loads that may come from the weight store, oldest first
     std::vector<due_news> m_due;
--- a/packages/gateway/lib/exchange.cpp
+++ b/packages/gateway/lib/exchange.cpp
@@ -58,6 +58,10 @@
         refuse(refusal::NotConfigured, std::nullopt);
         return;
     }
+    if (m_owner.m_refusesNew) {
+        refuse(refusal::Draining, milliseconds(0));
+        return;
+    }
     m_configVersion = m_owner.configuration().version;
     const std::string *host = m_request.headers.find("Host");
     const route *found = host ? m_owner.m_routes.find(*host, m_request.path()) : nullptr;
@@ -165,7 +169,11 @@
     m_owner.m_pool.begin(made.target);
     if (!m_running) {
         m_running = true;
-        m_owner.m_demand[m_facts.model].running += 1;
+        model_demand &demand = m_owner.m_demand[m_facts.model];
+        demand.running += 1;
+        if (!m_facts.adapter.empty()) {
+            demand.adapters[m_facts.adapter].running += 1;
+        }
     }
     m_attemptNumber += 1;
     m_scanner.restart();
--- a/packages/gateway/lib/gateway.cpp
+++ b/packages/gateway/lib/gateway.cpp
@@ -83,7 +83,7 @@
         model_demand &demand = m_demand[facts.model];
         demand.arrivals += 1;
         if (!facts.adapter.empty()) {
-            demand.adapters[facts.adapter] = loopNow();
+            demand.adapters[facts.adapter].askedAt = loopNow();
         }
     }
     m_demand[facts.model].waiting += 1;
@@ -100,7 +100,11 @@
     }
     if (one.m_running) {
         one.m_running = false;
-        m_demand[one.facts().model].running -= 1;
+        model_demand &demand = m_demand[one.facts().model];
+        demand.running -= 1;
+        if (!one.facts().adapter.empty()) {
+            demand.adapters[one.facts().adapter].running -= 1;
+        }
     }
     pump();
 }
@@ -132,9 +136,9 @@
         if (demand.waiting + demand.running > 0) {
             entries.push_back({model, {}, demand.arrivals, demand.waiting, demand.running});
         }
-        for (const auto &[adapter, askedAt] : demand.adapters) {
-            if (askedAt > since) {
-                entries.push_back({model, adapter, 0, 0, 0});
+        for (const auto &[adapter, use] : demand.adapters) {
+            if (use.askedAt > since || use.running > 0) {
+                entries.push_back({model, adapter, 0, 0, use.running});
             }
         }
     }
--- a/packages/gateway/lib/residency_duty.cpp
+++ b/packages/gateway/lib/residency_duty.cpp
@@ -127,7 +127,7 @@
     m_demand.tell(now, vm, demand);
     for (const demand_entry &entry : demand) {
         if (!entry.adapter.empty()) {
-            m_keeper.used(now, entry.model, entry.adapter);
+            m_keeper.used(now, entry.model, entry.adapter, entry.running);
         }
     }
 }
--- a/packages/gateway/lib/residency_keeper.cpp
+++ b/packages/gateway/lib/residency_keeper.cpp
@@ -22,6 +22,9 @@
 static constexpr milliseconds firstLook{350};
 /// A want is repeated by the VMs that have it, so it lapses soon.
 static constexpr milliseconds wantHold{600};
+/// An unload that waits for runs takes up its adapter's place for so long: streams last 4 s at most but
+/// for one in a hundred.
+static constexpr milliseconds departure{5000};
 /// An adapter that was asked for so lately doesn't make way for another.
 static constexpr milliseconds adapterInUse{500};
 /// An unanswered order's load that no report shows by then counts as lost, and is ordered anew if wanted.
@@ -52,9 +55,13 @@
     used(now, want.model, want.adapter);
 }
 
-void residency_keeper::used(instant now, const model_id &model, const adapter_id &adapter)
+void residency_keeper::used(instant now, const model_id &model, const adapter_id &adapter, std::uint32_t running)
 {
-    m_used[{model, adapter}] = now;
+    adapter_use &use = m_used[{model, adapter}];
+    use.askedAt = now;
+    if (running > 0) {
+        use.runningAt = now;
+    }
 }
 
 void residency_keeper::setPlan(const service_id &service, wanted_placement plan)
@@ -114,6 +121,14 @@
     at.orderCount = report.orderCount;
     at.busy = report.busy;
     at.models = report.models;
+    for (const adapter_key &coming : report.pending) {
+        if (held_model *held = findModel(at.models, coming.first)) {
+            held->adapters.insert(coming.second);
+        }
+    }
+    std::erase_if(at.departing, [now](const auto &one) {
+        return now - one.second > departure;
+    });
     at.atHand = report.atHand;
     if (report.busy) {
         at.askAt = now + reportEvery;
@@ -202,10 +217,16 @@
         at.orderCount = order.expected + 1;
         break;
     case order_result::AlreadySo:
+        // An adapter that nothing uses is unloaded at once, which this answer says as well; it counts as
+        // an order. Where it wasn't held the count stays, and the next order meets a conflict.
+        at.orderCount = order.expected + (!order.load && !order.adapter.empty() ? 1 : 0);
         break;
     }
     at.sent.reset();
     apply(at, order);
+    if (!order.load && !order.adapter.empty() && result == order_result::Accepted) {
+        at.departing[{order.model, order.adapter}] = now;
+    }
     if (!order.adapter.empty()) {
         m_due.push_back({now + (result == order_result::Accepted && order.load ? adapterSettle : milliseconds(0)),
                          {order.target, order.model, order.adapter, order.load}});
@@ -249,9 +270,12 @@
 
 std::size_t residency_keeper::adaptersOf(const engine &at) const
 {
-    std::size_t count = 0;
+    std::size_t count = at.departing.size();
     for (const held_model &held : at.models) {
         count += held.adapters.size();
+        for (const adapter_id &adapter : held.adapters) {
+            count -= at.departing.contains({held.model, adapter}) ? 1 : 0;
+        }
     }
     return count;
 }
@@ -272,16 +296,19 @@
     steps.orders.push_back(std::move(order));
 }
 
-std::optional<residency_keeper::adapter_key> residency_keeper::leastUsed(const engine &at) const
+std::optional<residency_keeper::adapter_key> residency_keeper::leastUsed(instant now, const engine &at) const
 {
     std::optional<adapter_key> least;
     instant leastAt = farFuture;
     for (const held_model &held : at.models) {
         for (const adapter_id &adapter : held.adapters) {
             const auto known = m_used.find({held.model, adapter});
-            const instant usedAt = known == m_used.end() ? instant{} : known->second;
-            if (usedAt < leastAt) {
-                leastAt = usedAt;
+            const adapter_use use = known == m_used.end() ? adapter_use{} : known->second;
+            if (now - use.askedAt < adapterInUse || now - use.runningAt < adapterInUse) {
+                continue;
+            }
+            if (use.askedAt < leastAt) {
+                leastAt = use.askedAt;
                 least = adapter_key(held.model, adapter);
             }
         }
@@ -306,6 +333,9 @@
         if (findModel(at.models, want.model)->adapters.contains(want.adapter)) {
             return true;
         }
+        if (at.departing.contains({want.model, want.adapter})) {
+            continue;
+        }
         if (at.sent || at.retiring || (at.loading && at.loading->model == want.model)) {
             continue;
         }
@@ -323,9 +353,8 @@
     }
     const pool_target &target = *pool.find(bestId);
     if (adaptersOf(*best) >= traits->second.adapterSlots) {
-        const std::optional<adapter_key> out = leastUsed(*best);
-        const auto known = out ? m_used.find(*out) : m_used.end();
-        if (!out || (known != m_used.end() && now - known->second < adapterInUse)) {
+        const std::optional<adapter_key> out = leastUsed(now, *best);
+        if (!out) {
             return false;
         }
         steps.news.push_back({bestId, out->first, out->second, false});
