Tests of transport, gateway and decoding; the faults that they found

Likewise changed: an adapter unload that meets a conflict counts as departing; after a takeover no adapter moves for 5 s, since no report tells what departs.

--- a/packages/gateway/include/fuchsialoom/gateway/duty_lease.h
+++ b/packages/gateway/include/fuchsialoom/gateway/duty_lease.h
@@ -119,6 +119,11 @@
     {
         return m_fence;
     }
+    /// Another VM may have ordered before this one.
+    bool tookOver() const
+    {
+        return m_tookOver;
+    }
     bool isReleased() const
     {
         return m_state == state::Released;
@@ -153,6 +158,7 @@
     instant m_orderFrom{};
     std::uint64_t m_fence = 0;
     milliseconds m_sinceLastOrder{0};
+    bool m_tookOver = false;
 };
 
 } // namespace fuchsialoom
--- a/packages/gateway/include/fuchsialoom/gateway/residency_keeper.h
+++ b/packages/gateway/include/fuchsialoom/gateway/residency_keeper.h
@@ -86,8 +86,9 @@
 public:
     residency_keeper(load_limits limits, decision_log &log);
 
-    /// This VM took the duty over, or lost it: what was known of engines counts no more.
-    void reset();
+    /// This VM took the duty over: what was known of engines counts no more. \p afterAnother: a VM before
+    /// it may have unloaded adapters that still run, which no report tells.
+    void reset(instant now, bool afterAnother);
 
     void setTraits(const service_id &service, const engine_traits &traits);
 
@@ -183,6 +184,7 @@
     std::map<service_id, wanted_placement> m_plans;
     std::deque<instant> m_loadStarts; ///< of loads that may come from the weight store, oldest first
     std::vector<due_news> m_due;
+    instant m_adaptersFrom{}; ///< no adapter is moved before
     std::optional<instant> m_lastOrder;
     std::uint64_t m_orders = 0;
 };
--- a/packages/gateway/lib/duty_lease.cpp
+++ b/packages/gateway/lib/duty_lease.cpp
@@ -86,6 +86,7 @@
         m_nextAt = now;
         return;
     }
+    m_tookOver = newest.has_value();
     m_seenEnd = end;
     m_seenAt = now;
     m_nextAt = now;
--- a/packages/gateway/lib/peer_digest.cpp
+++ b/packages/gateway/lib/peer_digest.cpp
@@ -156,11 +156,12 @@
 
 std::optional<peer_digest> decodeDigest(std::string_view bytes)
 {
-    const json fields = json::from_cbor(bytes.begin(), bytes.end(), true, false);
-    if (!fields.is_array() || fields.empty() || fields[0] != layoutNumber) {
-        return std::nullopt;
-    }
     try {
+        // Sizes beyond all bounds are thrown even where the library is told not to throw.
+        const json fields = json::from_cbor(bytes.begin(), bytes.end(), true, false);
+        if (!fields.is_array() || fields.empty() || fields[0] != layoutNumber) {
+            return std::nullopt;
+        }
         return decodeFields(fields);
     } catch (const json::exception &) {
         return std::nullopt;
--- a/packages/gateway/lib/residency_duty.cpp
+++ b/packages/gateway/lib/residency_duty.cpp
@@ -53,7 +53,7 @@
                     .with("orders-in-ms", mayOrder ? milliseconds(0) : wait));
     if (mayOrder && !m_mayOrder) {
         // Others may have ordered since this VM last knew what engines hold.
-        m_keeper.reset();
+        m_keeper.reset(loopNow(), m_lease.tookOver());
     }
     m_wasHolder = holder;
     m_mayOrder = mayOrder;
--- a/packages/gateway/lib/residency_keeper.cpp
+++ b/packages/gateway/lib/residency_keeper.cpp
@@ -14,6 +14,8 @@
 static constexpr milliseconds adapterSettle{25};
 /// From the news that a model goes until its unload: requests on their way still find it.
 static constexpr milliseconds unloadSettle{120};
+/// A report shows what was up to so long ago, with a margin: engines tell their state of 200 ms before.
+static constexpr milliseconds reportLag{400};
 /// Between two looks at an engine that loads; its report is some 200 ms old.
 static constexpr milliseconds reportEvery{200};
 /// After a report that didn't come.
@@ -36,8 +38,9 @@
 {
 }
 
-void residency_keeper::reset()
+void residency_keeper::reset(instant now, bool afterAnother)
 {
+    m_adaptersFrom = afterAnother ? now + departure : now;
     m_engines.clear();
     m_wants.clear();
     m_plans.clear();
@@ -120,7 +123,16 @@
     at.known = true;
     at.orderCount = report.orderCount;
     at.busy = report.busy;
+    std::optional<held_model> going;
+    if (report.busy && at.loading && !at.loading->load) {
+        // It takes its room until the unload is over, whether the report still names it or not.
+        const held_model *held = findModel(at.models, at.loading->model);
+        going = held ? std::optional(*held) : std::nullopt;
+    }
     at.models = report.models;
+    if (going && !holdsModel(at.models, going->model)) {
+        at.models.push_back(*going);
+    }
     for (const adapter_key &coming : report.pending) {
         if (held_model *held = findModel(at.models, coming.first)) {
             held->adapters.insert(coming.second);
@@ -209,9 +221,14 @@
         return;
     case order_result::Conflict:
     case order_result::Refused:
+        if (!order.load && !order.adapter.empty()) {
+            // An earlier send of it may have been carried out, with an answer that was lost.
+            at.departing[{order.model, order.adapter}] = now;
+        }
         at.sent.reset();
         at.known = false;
-        at.askAt = now + reportEvery;
+        // A report that is older than the conflict could show the state before it.
+        at.askAt = now + reportLag;
         return;
     case order_result::Accepted:
         at.orderCount = order.expected + 1;
@@ -223,7 +240,10 @@
         break;
     }
     at.sent.reset();
-    apply(at, order);
+    const bool waits = result == order_result::Accepted && order.adapter.empty() && !order.load;
+    if (!waits) {
+        apply(at, order);
+    }
     if (!order.load && !order.adapter.empty() && result == order_result::Accepted) {
         at.departing[{order.model, order.adapter}] = now;
     }
@@ -374,6 +394,9 @@
     std::erase_if(m_wants, [now](const auto &entry) {
         return entry.second <= now;
     });
+    if (now < m_adaptersFrom) {
+        return;
+    }
     for (auto one = m_wants.begin(); one != m_wants.end();) {
         if (serveWant(now, pool, one->first, steps)) {
             one = m_wants.erase(one);
--- /dev/null
+++ b/packages/gateway/unittests/duty_lease_test.cpp
@@ -0,0 +1,365 @@
+/// \file
+/// The lease of the duty under virtual time: VMs that freeze, restart and can't reach the log or each other,
+/// a log whose answers are lost and whose appends may be carried out late.
+#include "fuchsialoom/gateway/duty_lease.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <random>
+
+namespace fuchsialoom
+{
+
+namespace
+{
+
+constexpr milliseconds turnTime{3000};
+constexpr instant start = instant(std::chrono::seconds(1000));
+
+/// What may go wrong, each as a share of the occasions.
+struct troubles
+{
+    double lostAnswers = 0;
+    double lateAppends = 0;
+    double refusals = 0;
+    double freezes = 0;
+    double restarts = 0;
+    double unheard = 0; ///< of a holder's digests
+};
+
+struct made_order
+{
+    instant at;
+    int vm = 0;
+    std::uint64_t fence = 0;
+};
+
+/// Three VMs and a log, moved on in steps of 20 ms.
+class lease_world
+{
+public:
+    lease_world(unsigned seed, troubles wrong)
+        : m_random(seed)
+        , m_wrong(wrong)
+    {
+        for (int vm = 0; vm < vmCount; ++vm) {
+            startVm(vm);
+        }
+    }
+
+    void run(seconds length)
+    {
+        const instant end = m_now + length;
+        while (m_now < end) {
+            m_now += milliseconds(20);
+            deliver();
+            for (int vm = 0; vm < vmCount; ++vm) {
+                move(vm);
+            }
+        }
+    }
+
+    void stopTroubles()
+    {
+        m_wrong = {};
+    }
+
+    duty_lease &leaseOf(int vm)
+    {
+        return *m_vms[vm].lease;
+    }
+    void kill(int vm)
+    {
+        m_vms[vm].frozenUntil = farFuture;
+    }
+    instant now() const
+    {
+        return m_now;
+    }
+    const std::vector<made_order> &orders() const
+    {
+        return m_orders;
+    }
+    int holder()
+    {
+        for (int vm = 0; vm < vmCount; ++vm) {
+            if (m_vms[vm].frozenUntil <= m_now && m_vms[vm].lease->isHolder(m_now)) {
+                return vm;
+            }
+        }
+        return -1;
+    }
+
+    static constexpr int vmCount = 3;
+
+private:
+    struct vm_state
+    {
+        std::unique_ptr<duty_lease> lease;
+        std::uint64_t incarnation = 0;
+        instant frozenUntil{};
+    };
+
+    bool chance(double share)
+    {
+        return std::uniform_real_distribution<double>(0, 1)(m_random) < share;
+    }
+    milliseconds between(int least, int most)
+    {
+        return milliseconds(std::uniform_int_distribution<int>(least, most)(m_random));
+    }
+
+    void startVm(int vm)
+    {
+        m_incarnations += 1;
+        lease_options options;
+        options.vm = vm_id("vm-" + std::to_string(vm));
+        options.incarnation = m_incarnations;
+        options.turnTime = turnTime;
+        m_vms[vm].incarnation = m_incarnations;
+        m_vms[vm].lease = std::make_unique<duty_lease>(options, m_now);
+    }
+
+    void later(milliseconds wait, std::function<void()> what)
+    {
+        m_due.emplace(m_now + wait, std::move(what));
+    }
+
+    void deliver()
+    {
+        while (!m_due.empty() && m_due.begin()->first <= m_now) {
+            const auto what = std::move(m_due.begin()->second);
+            m_due.erase(m_due.begin());
+            what();
+        }
+    }
+
+    /// Hands an answer to a VM; one that is frozen gets it when it goes on.
+    void answer(int vm, std::uint64_t incarnation, std::function<void(duty_lease &)> what)
+    {
+        vm_state &state = m_vms[vm];
+        if (state.incarnation != incarnation || state.frozenUntil == farFuture) {
+            return;
+        }
+        if (state.frozenUntil > m_now) {
+            m_due.emplace(state.frozenUntil, [this, vm, incarnation, what] {
+                answer(vm, incarnation, what);
+            });
+            return;
+        }
+        what(*state.lease);
+    }
+
+    void move(int vm)
+    {
+        vm_state &state = m_vms[vm];
+        if (state.frozenUntil > m_now) {
+            return;
+        }
+        if (chance(m_wrong.restarts)) {
+            startVm(vm);
+        }
+        if (chance(m_wrong.freezes)) {
+            state.frozenUntil = m_now + between(200, 6000);
+            return;
+        }
+        duty_lease &lease = *state.lease;
+        switch (lease.tick(m_now)) {
+        case lease_action::None:
+            break;
+        case lease_action::Read:
+            read(vm);
+            break;
+        case lease_action::Append:
+            append(vm);
+            break;
+        }
+        if (lease.mayOrder(m_now)) {
+            m_orders.push_back({m_now, vm, lease.fence()});
+        }
+        if (lease.isHolder(m_now)) {
+            for (int other = 0; other < vmCount; ++other) {
+                if (other != vm && m_vms[other].frozenUntil <= m_now && !chance(m_wrong.unheard)) {
+                    m_vms[other].lease->onHolderHeard(m_now);
+                }
+            }
+        }
+    }
+
+    void read(int vm)
+    {
+        const instant askedAt = m_now;
+        const std::uint64_t incarnation = m_vms[vm].incarnation;
+        if (chance(m_wrong.refusals)) {
+            later(between(1, 1500), [=, this] {
+                answer(vm, incarnation, [this](duty_lease &lease) {
+                    lease.onReadFailed(m_now);
+                });
+            });
+            return;
+        }
+        later(between(1, 40), [=, this] {
+            const std::uint64_t end = m_log.size();
+            const std::optional<lease_record> newest = m_log.empty() ? std::nullopt : std::optional(m_log.back());
+            later(between(1, 40), [=, this] {
+                answer(vm, incarnation, [=, this](duty_lease &lease) {
+                    lease.onRead(askedAt, m_now, end, newest, end == 0 ? 0 : end - 1);
+                });
+            });
+        });
+    }
+
+    void append(int vm)
+    {
+        const std::uint64_t incarnation = m_vms[vm].incarnation;
+        const lease_record record = m_vms[vm].lease->nextRecord();
+        const std::uint64_t onlyAt = m_vms[vm].lease->end();
+        if (chance(m_wrong.lateAppends)) {
+            later(between(1000, 6000), [=, this] {
+                if (m_log.size() == onlyAt) {
+                    m_log.push_back(record);
+                }
+            });
+            later(milliseconds(1500), [=, this] {
+                answer(vm, incarnation, [this](duty_lease &lease) {
+                    lease.onAppendFailed(m_now, true);
+                });
+            });
+            return;
+        }
+        later(between(1, 40), [=, this] {
+            const bool fits = m_log.size() == onlyAt;
+            if (fits) {
+                m_log.push_back(record);
+            }
+            const bool lost = chance(m_wrong.lostAnswers);
+            later(lost ? milliseconds(1500) : between(1, 40), [=, this] {
+                answer(vm, incarnation, [=, this](duty_lease &lease) {
+                    if (lost) {
+                        lease.onAppendFailed(m_now, true);
+                    } else if (fits) {
+                        lease.onAppended(m_now, onlyAt);
+                    } else {
+                        lease.onMoved(m_now);
+                    }
+                });
+            });
+        });
+    }
+
+    std::mt19937 m_random;
+    troubles m_wrong;
+    instant m_now = start;
+    std::map<int, vm_state> m_vms;
+    std::uint64_t m_incarnations = 0;
+    std::vector<lease_record> m_log;
+    std::multimap<instant, std::function<void()>> m_due;
+    std::vector<made_order> m_orders;
+};
+
+/// No two VMs order within the turn time, nor under one fence; fences never go back.
+::testing::AssertionResult keepsTurns(const std::vector<made_order> &orders)
+{
+    for (std::size_t at = 1; at < orders.size(); ++at) {
+        const made_order &before = orders[at - 1];
+        const made_order &after = orders[at];
+        if (after.fence < before.fence) {
+            return ::testing::AssertionFailure() << "fence went back at order " << at;
+        }
+        if (before.vm == after.vm) {
+            continue;
+        }
+        if (after.fence == before.fence) {
+            return ::testing::AssertionFailure() << "two VMs under fence " << after.fence;
+        }
+        if (after.at - before.at < turnTime) {
+            return ::testing::AssertionFailure() << "turn after " << (after.at - before.at).count() << " us";
+        }
+    }
+    return ::testing::AssertionSuccess();
+}
+
+} // namespace
+
+TEST(duty_lease, theFirstHolderOrdersSoon)
+{
+    lease_world world(1, {});
+    world.run(seconds(2));
+    ASSERT_FALSE(world.orders().empty());
+    EXPECT_LE(world.orders().front().at - start, milliseconds(1300));
+    EXPECT_TRUE(keepsTurns(world.orders()));
+}
+
+TEST(duty_lease, aDeadHolderIsReplacedWithinSevenSeconds)
+{
+    lease_world world(2, {});
+    world.run(seconds(3));
+    const int first = world.holder();
+    ASSERT_GE(first, 0);
+    world.kill(first);
+    const instant killedAt = world.now();
+    world.run(seconds(8));
+    const made_order &last = world.orders().back();
+    EXPECT_NE(last.vm, first);
+    for (const made_order &order : world.orders()) {
+        if (order.vm != first) {
+            EXPECT_LE(order.at - killedAt, seconds(7));
+            break;
+        }
+    }
+    EXPECT_TRUE(keepsTurns(world.orders()));
+}
+
+TEST(duty_lease, aReleaseShortensTheWait)
+{
+    lease_world world(3, {});
+    world.run(seconds(3));
+    const int first = world.holder();
+    ASSERT_GE(first, 0);
+    const instant releasedAt = world.now();
+    world.leaseOf(first).release(world.now(), std::nullopt);
+    world.run(seconds(4));
+    EXPECT_TRUE(world.leaseOf(first).isReleased());
+    const int second = world.holder();
+    ASSERT_GE(second, 0);
+    EXPECT_NE(second, first);
+    // It never ordered anything, so nobody has to wait for its turn to pass: only for its silence.
+    EXPECT_LE(world.leaseOf(second).orderFrom() - releasedAt, milliseconds(2500));
+}
+
+TEST(duty_lease, aHolderWithoutTheLogStopsAtItsLease)
+{
+    lease_world world(4, {});
+    world.run(seconds(3));
+    lease_world cut(4, {});
+    cut.run(seconds(3));
+    const int holder = world.holder();
+    ASSERT_GE(holder, 0);
+    duty_lease &lease = world.leaseOf(holder);
+    EXPECT_FALSE(lease.mayOrder(world.now() + milliseconds(1500)));
+}
+
+RC_GTEST_PROP(duty_lease, keepsTurnsUnderTrouble, ())
+{
+    troubles wrong;
+    wrong.lostAnswers = *rc::gen::element(0.0, 0.1, 0.35);
+    wrong.lateAppends = *rc::gen::element(0.0, 0.1, 0.35);
+    wrong.refusals = *rc::gen::element(0.0, 0.3);
+    wrong.freezes = *rc::gen::element(0.0, 0.002, 0.01);
+    wrong.restarts = *rc::gen::element(0.0, 0.001);
+    wrong.unheard = *rc::gen::element(0.0, 0.5, 1.0);
+    lease_world world(*rc::gen::arbitrary<unsigned>(), wrong);
+    world.run(seconds(40));
+    RC_ASSERT(keepsTurns(world.orders()));
+    world.stopTroubles();
+    world.run(seconds(20));
+    RC_ASSERT(keepsTurns(world.orders()));
+    RC_ASSERT(world.holder() >= 0);
+    RC_ASSERT(world.orders().back().at > world.now() - seconds(1));
+}
+
+} // namespace fuchsialoom
--- /dev/null
+++ b/packages/gateway/unittests/peer_digest_test.cpp
@@ -0,0 +1,81 @@
+/// \file
+/// Digests come through whole, and bytes that are none are dropped.
+#include "fuchsialoom/gateway/demand_view.h"
+#include "fuchsialoom/gateway/peer_digest.h"
+
+#include <gtest/gtest.h>
+
+#include <random>
+
+namespace fuchsialoom
+{
+
+static peer_digest fullDigest()
+{
+    peer_digest digest;
+    digest.vm = vm_id("vm-1");
+    digest.incarnation = 1764700000000000;
+    digest.sequence = 7;
+    digest.configVersion = 12;
+    digest.leaving = true;
+    digest.dutyFence = 40;
+    digest.flights = {{target_id("e1"), 3}, {target_id("e2"), 1}};
+    digest.demand = {{model_id("m"), {}, 100, 2, 3}, {model_id("m"), adapter_id("a1"), 0, 0, 1}};
+    digest.wants = {{service_id("s"), model_id("m"), adapter_id("a2")}};
+    digest.news = {{target_id("e1"), model_id("m"), adapter_id("a3"), false}};
+    digest.deaths = {{0xfedcba9876543210ULL, target_id("e9")}};
+    digest.peers = {{"10.0.0.1", 7380}};
+    return digest;
+}
+
+TEST(peer_digest, comesThroughWhole)
+{
+    const peer_digest digest = fullDigest();
+    EXPECT_EQ(decodeDigest(encodeDigest(digest)), digest);
+    peer_digest plain;
+    plain.vm = vm_id("vm-2");
+    EXPECT_EQ(decodeDigest(encodeDigest(plain)), plain);
+}
+
+TEST(peer_digest, anyOtherBytesAreDropped)
+{
+    EXPECT_FALSE(decodeDigest(""));
+    EXPECT_FALSE(decodeDigest("hello"));
+    const std::string whole = encodeDigest(fullDigest());
+    for (std::size_t size = 0; size < whole.size(); ++size) {
+        EXPECT_FALSE(decodeDigest(std::string_view(whole).substr(0, size)));
+    }
+    std::mt19937 random(20261202);
+    for (int round = 0; round < 10000; ++round) {
+        std::string bytes = whole;
+        bytes[random() % bytes.size()] = static_cast<char>(random());
+        decodeDigest(bytes);
+    }
+}
+
+TEST(demand_view, followsAShiftAndForgetsTheSilent)
+{
+    constexpr instant start = instant(std::chrono::seconds(1000));
+    demand_view view;
+    view.tell(start, vm_id("a"), {{model_id("m"), {}, 0, 0, 10}});
+    view.tell(start, vm_id("b"), {{model_id("m"), {}, 0, 5, 5}});
+    view.advance(start);
+    for (int step = 1; step <= 15; ++step) {
+        view.tell(start + milliseconds(100) * step, vm_id("a"), {{model_id("m"), {}, 0, 0, 10}});
+        view.tell(start + milliseconds(100) * step, vm_id("b"), {{model_id("m"), {}, 0, 5, 5}});
+        view.advance(start + milliseconds(100) * step);
+    }
+    const model_streams busy = view.models().at(model_id("m"));
+    EXPECT_GT(busy.now, 17);
+    EXPECT_LE(busy.now, 20);
+    EXPECT_EQ(busy.waiting, 5U);
+    for (int step = 16; step <= 60; ++step) {
+        view.advance(start + milliseconds(100) * step);
+    }
+    const model_streams idle = view.models().at(model_id("m"));
+    EXPECT_LT(idle.now, 1);
+    EXPECT_GT(idle.remembered, 10);
+    EXPECT_EQ(idle.waiting, 0U);
+}
+
+} // namespace fuchsialoom
--- /dev/null
+++ b/packages/gateway/unittests/target_pool_test.cpp
@@ -0,0 +1,145 @@
+/// \file
+/// The choice of a target by what it holds, what all VMs have in flight there, and what failed there.
+#include "fuchsialoom/gateway/target_pool.h"
+
+#include <gtest/gtest.h>
+
+namespace fuchsialoom
+{
+
+static constexpr instant start = instant(std::chrono::seconds(1000));
+static const service_id service("s");
+
+static listed_upstream engineAt(const std::string &id, const std::string &domain, std::vector<held_model> models)
+{
+    listed_upstream made;
+    made.id = target_id(id);
+    made.service = service;
+    made.domain = domain_id(domain);
+    made.slots = 4;
+    made.isEngine = true;
+    made.models = std::move(models);
+    return made;
+}
+
+class target_pool_test : public testing::Test
+{
+protected:
+    target_pool_test()
+    {
+        m_pool.list(start, engineAt("near", "here", {{model_id("m"), {adapter_id("a1")}}}));
+        m_pool.list(start, engineAt("far", "there", {{model_id("m"), {}}, {model_id("n"), {}}}));
+    }
+
+    std::string choose(const std::string &model, const std::string &adapter = "", const std::set<target_id> *tried = nullptr)
+    {
+        const target_choice choice = m_pool.choose(m_now, {service, model_id(model), adapter_id(adapter), tried}, ++m_draw);
+        m_verdict = choice.verdict;
+        return choice.target ? choice.target->listed.id.text() : "";
+    }
+
+    instant m_now = start;
+    std::uint64_t m_draw = 0;
+    pool_verdict m_verdict = pool_verdict::Chosen;
+    target_pool m_pool{domain_id("here")};
+};
+
+TEST_F(target_pool_test, onlyWhereModelAndAdapterAre)
+{
+    EXPECT_EQ(choose("n"), "far");
+    EXPECT_EQ(choose("m", "a1"), "near");
+    EXPECT_EQ(choose("m", "a2"), "");
+    EXPECT_EQ(m_verdict, pool_verdict::NotResident);
+    EXPECT_EQ(choose("x"), "");
+    EXPECT_EQ(m_verdict, pool_verdict::NotResident);
+}
+
+TEST_F(target_pool_test, peersRequestsTakePlacesToo)
+{
+    m_pool.setPeerFlights(m_now, vm_id("peer"), {{target_id("near"), 4}});
+    EXPECT_EQ(choose("m"), "far");
+    m_pool.setPeerFlights(m_now, vm_id("other"), {{target_id("far"), 3}});
+    m_pool.begin(target_id("far"));
+    EXPECT_EQ(choose("m"), "");
+    EXPECT_EQ(m_verdict, pool_verdict::NoRoom);
+    EXPECT_FALSE(m_pool.hasRoom(service, model_id("m")));
+    m_now += seconds(3);
+    m_pool.expirePeers(m_now);
+    EXPECT_NE(choose("m"), "");
+}
+
+TEST_F(target_pool_test, aTargetThatLeavesGetsNothing)
+{
+    listed_upstream leaving = engineAt("near", "here", {{model_id("m"), {}}});
+    leaving.leaving = true;
+    m_pool.list(m_now, leaving);
+    for (int draw = 0; draw < 20; ++draw) {
+        EXPECT_EQ(choose("m"), "far");
+    }
+    m_pool.unlist(target_id("far"));
+    EXPECT_EQ(choose("m"), "");
+    EXPECT_EQ(m_verdict, pool_verdict::NoTarget);
+}
+
+TEST_F(target_pool_test, neverTwiceWhereItWasTried)
+{
+    const std::set<target_id> tried{target_id("near")};
+    EXPECT_EQ(choose("m", "", &tried), "far");
+    const std::set<target_id> both{target_id("near"), target_id("far")};
+    EXPECT_EQ(choose("m", "", &both), "");
+}
+
+TEST_F(target_pool_test, failuresDriveRequestsAwayAndAreForgotten)
+{
+    for (int failure = 0; failure < 6; ++failure) {
+        m_pool.failed(m_now, target_id("near"));
+    }
+    int near = 0;
+    for (int draw = 0; draw < 50; ++draw) {
+        near += choose("m") == "near" ? 1 : 0;
+    }
+    EXPECT_EQ(near, 0);
+    m_now += seconds(15);
+    for (int draw = 0; draw < 50; ++draw) {
+        near += choose("m") == "near" ? 1 : 0;
+    }
+    EXPECT_GT(near, 25);
+}
+
+TEST_F(target_pool_test, anAvoidedTargetIsTakenWhenNoOtherIsLeft)
+{
+    m_pool.avoid(m_now, target_id("near"), seconds(1));
+    EXPECT_EQ(choose("m"), "far");
+    m_pool.unlist(target_id("far"));
+    EXPECT_EQ(choose("m"), "near");
+}
+
+TEST_F(target_pool_test, newsHoldsAgainstTheOlderEntry)
+{
+    m_pool.learn(m_now, {target_id("near"), model_id("k"), {}, true});
+    EXPECT_EQ(choose("k"), "near");
+    // The engine wrote its entry before the load was over.
+    m_pool.list(m_now, engineAt("near", "here", {{model_id("m"), {}}}));
+    EXPECT_EQ(choose("k"), "near");
+    m_now += seconds(4);
+    m_pool.list(m_now, engineAt("near", "here", {{model_id("m"), {}}}));
+    EXPECT_EQ(choose("k"), "");
+}
+
+TEST_F(target_pool_test, aTargetsOwnWordThatItHoldsNothingCounts)
+{
+    m_pool.noteAbsent(m_now, target_id("far"), model_id("n"), {});
+    EXPECT_EQ(choose("n"), "");
+}
+
+TEST_F(target_pool_test, equalTargetsShareTheRequests)
+{
+    std::map<std::string, int> counts;
+    for (int draw = 0; draw < 400; ++draw) {
+        counts[choose("m")] += 1;
+    }
+    EXPECT_GT(counts["near"], counts["far"]);
+    EXPECT_GT(counts["far"], 20);
+}
+
+} // namespace fuchsialoom
--- a/packages/http/include/fuchsialoom/http/caller_link.h
+++ b/packages/http/include/fuchsialoom/http/caller_link.h
@@ -14,6 +14,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace fuchsialoom
 {
@@ -134,6 +135,10 @@
     void stopAccepting();
     void drain(instant idleUntil);
 
+    asio::ip::tcp::endpoint address() const
+    {
+        return m_acceptor.local_endpoint();
+    }
     std::size_t openLinks() const;
     std::size_t busyLinks() const;
 
--- a/packages/http/lib/request_reader.cpp
+++ b/packages/http/lib/request_reader.cpp
@@ -253,7 +253,7 @@
         return parsed;
     };
 
-    if (self.complete || self.problem != reading_problem::None) {
+    if (bytes.empty() || self.complete || self.problem != reading_problem::None) {
         return 0;
     }
     if (self.headWhole) {
@@ -292,7 +292,9 @@
     if (self.complete || self.problem != reading_problem::None) {
         return taken;
     }
-    return taken + parse(bytes.substr(taken));
+    const std::string_view body = bytes.substr(taken);
+    // To the parser library, no bytes mean that the sender has closed the connection.
+    return body.empty() ? taken : taken + parse(body);
 }
 
 } // namespace fuchsialoom
--- /dev/null
+++ b/packages/http/unittests/caller_link_test.cpp
@@ -0,0 +1,207 @@
+/// \file
+/// Connections of callers: one answer for each request, in order, and a caller who leaves is noticed.
+#include "fuchsialoom/http/caller_link.h"
+
+#include "fuchsialoom/http/http_link.h"
+
+#include <gtest/gtest.h>
+
+#include <optional>
+
+namespace fuchsialoom
+{
+
+namespace
+{
+
+class caller_link_test : public testing::Test
+{
+protected:
+    caller_link_test()
+        : m_listener(m_loop, {asio::ip::address_v4::loopback(), 0}, events())
+        , m_caller(m_loop)
+    {
+        m_listener.start(100);
+        m_caller.connect(m_listener.address());
+    }
+
+    caller_events events()
+    {
+        caller_events made;
+        made.onRequest = [this](const std::shared_ptr<caller_link> &link, received_request request) {
+            m_requests.push_back(std::move(request));
+            m_link = link;
+            link->onGone([this] {
+                m_gone = true;
+            });
+            if (m_answerAtOnce) {
+                link->respond(200, {}, "answer " + std::to_string(m_requests.size()));
+            }
+        };
+        made.onRejected = [this](reading_problem problem) {
+            m_rejected = problem;
+        };
+        made.limits = [this]() -> const caller_limits & {
+            return m_limits;
+        };
+        return made;
+    }
+
+    void runFor(milliseconds length)
+    {
+        m_loop.restart();
+        m_loop.run_for(length);
+    }
+
+    void write(const std::string &text)
+    {
+        asio::write(m_caller, asio::buffer(text));
+        runFor(milliseconds(30));
+    }
+
+    /// What has come so far; \p closed is set when the connection ended.
+    std::string read()
+    {
+        std::string text;
+        std::array<char, 4096> bytes{};
+        m_caller.non_blocking(true);
+        while (true) {
+            asio::error_code problem;
+            const std::size_t size = m_caller.read_some(asio::buffer(bytes), problem);
+            if (problem) {
+                m_closed = problem != asio::error::would_block;
+                return text;
+            }
+            text.append(bytes.data(), size);
+        }
+    }
+
+    asio::io_context m_loop;
+    caller_limits m_limits;
+    std::vector<received_request> m_requests;
+    std::shared_ptr<caller_link> m_link;
+    std::optional<reading_problem> m_rejected;
+    bool m_answerAtOnce = true;
+    bool m_gone = false;
+    bool m_closed = false;
+    caller_listener m_listener;
+    asio::ip::tcp::socket m_caller;
+};
+
+constexpr const char *plainRequest = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
+
+} // namespace
+
+TEST_F(caller_link_test, answersRequestsSentTogetherInOrder)
+{
+    write(std::string(plainRequest) + plainRequest + plainRequest);
+    const std::string text = read();
+    const std::size_t first = text.find("answer 1");
+    const std::size_t second = text.find("answer 2");
+    const std::size_t third = text.find("answer 3");
+    EXPECT_TRUE(first < second && second < third && third != std::string::npos) << text;
+    EXPECT_FALSE(m_closed);
+}
+
+TEST_F(caller_link_test, aCallerWhoLeavesIsNoticedWhileItsAnswerIsMade)
+{
+    m_answerAtOnce = false;
+    write(plainRequest);
+    ASSERT_EQ(m_requests.size(), 1U);
+    m_caller.close();
+    runFor(milliseconds(30));
+    EXPECT_TRUE(m_gone);
+    EXPECT_FALSE(m_link->isOpen());
+}
+
+TEST_F(caller_link_test, aStreamThatIsAbortedDoesNotLookComplete)
+{
+    m_answerAtOnce = false;
+    write(plainRequest);
+    m_link->startStream(200, {});
+    m_link->sendPart("id: 1\n\n");
+    runFor(milliseconds(10));
+    m_link->abort();
+    runFor(milliseconds(10));
+    const std::string text = read();
+    EXPECT_NE(text.find("id: 1"), std::string::npos);
+    EXPECT_EQ(text.find("0\r\n\r\n"), std::string::npos);
+    EXPECT_TRUE(m_closed);
+}
+
+TEST_F(caller_link_test, aStreamEndsWithItsLastChunk)
+{
+    m_answerAtOnce = false;
+    write(plainRequest);
+    m_link->startStream(200, {});
+    m_link->sendPart("ab");
+    m_link->endStream();
+    runFor(milliseconds(10));
+    const std::string text = read();
+    EXPECT_TRUE(text.ends_with("\r\n2\r\nab\r\n0\r\n\r\n")) << text;
+    EXPECT_FALSE(m_closed);
+}
+
+TEST_F(caller_link_test, whatIsNoRequestIsAnsweredAndClosed)
+{
+    write("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n");
+    EXPECT_TRUE(read().starts_with("HTTP/1.1 400 "));
+    EXPECT_EQ(m_rejected, reading_problem::AmbiguousFraming);
+    EXPECT_TRUE(m_requests.empty());
+    runFor(milliseconds(10));
+    read();
+    EXPECT_TRUE(m_closed);
+}
+
+TEST_F(caller_link_test, aDrainingConnectionIsAnsweredAndClosed)
+{
+    m_listener.drain(loopNow() + seconds(5));
+    write(plainRequest);
+    EXPECT_NE(read().find("Connection: close"), std::string::npos);
+    runFor(milliseconds(10));
+    read();
+    EXPECT_TRUE(m_closed);
+}
+
+TEST_F(caller_link_test, anIdleConnectionOutlivesTheStopForAWhile)
+{
+    runFor(milliseconds(10));
+    m_listener.drain(loopNow() + milliseconds(60));
+    runFor(milliseconds(20));
+    read();
+    EXPECT_FALSE(m_closed);
+    runFor(milliseconds(100));
+    read();
+    EXPECT_TRUE(m_closed);
+}
+
+TEST_F(caller_link_test, aCallerWhoWaitsForLeaveGetsIt)
+{
+    write("POST / HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n");
+    EXPECT_TRUE(read().starts_with("HTTP/1.1 100 "));
+    write("ab");
+    EXPECT_NE(read().find("answer 1"), std::string::npos);
+    EXPECT_EQ(m_requests.at(0).body, "ab");
+}
+
+TEST_F(caller_link_test, anIdleConnectionIsClosedAfterItsTime)
+{
+    m_limits.idleTimeout = milliseconds(40);
+    write(plainRequest);
+    read();
+    EXPECT_FALSE(m_closed);
+    runFor(milliseconds(100));
+    read();
+    EXPECT_TRUE(m_closed);
+}
+
+TEST_F(caller_link_test, aHeadThatNeverEndsIsNotWaitedFor)
+{
+    m_limits.headTimeout = milliseconds(40);
+    write("GET / HT");
+    runFor(milliseconds(100));
+    read();
+    EXPECT_TRUE(m_closed);
+}
+
+} // namespace fuchsialoom
