Placement: quiet models yield places, demand is projected, memory is short

Engines whose report was awaited were left out of the plan, so their models were loaded elsewhere and thrown out again; a demand remembered for 12 s kept the copies of the hot models of before.

Ruled out: the store's rate (3 loads at once were seldom reached), the holder's absence (6 s of the 30).

Change: where places are too few, the models asked for least may lose their last copy and get it back by waiting; awaited engines count with what they are listed with; memory is 1.5 s and a load; a rise is projected 1.5 s; loads go by what each copy would serve. One log line for each plan that wants loads.

--- a/packages/gateway/include/fuchsialoom/gateway/demand_view.h
+++ b/packages/gateway/include/fuchsialoom/gateway/demand_view.h
@@ -16,14 +16,26 @@
     double now = 0; ///< requests that run or wait, smoothed over about a second
     double remembered = 0; ///< the most of late, fading: guards copies after a burst
     std::uint32_t waiting = 0; ///< at all VMs, as last told
+    double rising = 0; ///< streams more each second, smoothed; never below 0
 };
 
 class demand_view
 {
 public:
+    demand_view();
+
+    /// A model's streams in a moment, at the rate at which they rise now.
+    static double projected(const model_streams &streams, double ahead)
+    {
+        return streams.now + ahead * streams.rising;
+    }
+
     /// \p vm's word, in place of its earlier one.
     void tell(instant now, const vm_id &vm, const std::vector<demand_entry> &demand);
 
+    /// How long a model's demand is remembered: about what it takes to load it again, and a little more.
+    void setMemory(double loadSeconds);
+
     /// To be called a few times a second.
     void advance(instant now);
 
@@ -42,6 +54,7 @@
     std::map<vm_id, teller> m_tellers;
     std::map<model_id, model_streams> m_models;
     instant m_advancedAt{};
+    double m_memorySeconds;
 };
 
 } // namespace fuchsialoom
--- a/packages/gateway/include/fuchsialoom/gateway/residency_duty.h
+++ b/packages/gateway/include/fuchsialoom/gateway/residency_duty.h
@@ -9,6 +9,7 @@
 #include "fuchsialoom/gateway/residency_keeper.h"
 
 #include <functional>
+#include <map>
 #include <optional>
 
 namespace fuchsialoom
@@ -87,6 +88,7 @@
     void noteHolding();
     void step();
     void plan(instant now);
+    void noteUnserved(instant now);
 
     gateway &m_gateway;
     decision_log &m_log;
@@ -97,14 +99,18 @@
     bool m_wasHolder = false;
     bool m_mayOrder = false; ///< as last seen, to tell of changes
     instant m_planAt{};
+    std::map<model_id, double> m_unserved; ///< asked for and held nowhere: streams that its waiting counts as
+    instant m_unservedAt{};
     instant m_heardAt{}; ///< latest word of another VM that holds the duty, on the loop's clock
 };
 
-/// The placement wanted of \p service's engines by what is asked of their models.
-wanted_placement planResidency(const service_id &service,
-                               const engine_traits &traits,
-                               const target_pool &pool,
-                               const residency_keeper &keeper,
-                               const demand_view &demand);
+/// The placement wanted of \p service's engines by what is asked of their models. \p unserved: models that
+/// are asked for and held by no engine, each with what it has come to be worth in streams by waiting.
+residency_plan planResidency(const service_id &service,
+                             const engine_traits &traits,
+                             const target_pool &pool,
+                             const residency_keeper &keeper,
+                             const demand_view &demand,
+                             const std::map<model_id, double> &unserved);
 
 } // namespace fuchsialoom
--- a/packages/gateway/include/fuchsialoom/gateway/residency_keeper.h
+++ b/packages/gateway/include/fuchsialoom/gateway/residency_keeper.h
@@ -74,6 +74,13 @@
     std::vector<residency_news> news; ///< for all VMs
 };
 
+/// What a service's engines are to hold.
+struct residency_plan
+{
+    wanted_placement wanted;
+    std::set<model_id> yielding; ///< models whose last copy may make way for now
+};
+
 /// What the weight store allows.
 struct load_limits
 {
@@ -97,7 +104,7 @@
     /// Requests named an adapter, so that it isn't the next to make way.
     void used(instant now, const model_id &model, const adapter_id &adapter, std::uint32_t running = 0);
 
-    void setPlan(const service_id &service, wanted_placement plan);
+    void setPlan(const service_id &service, residency_plan plan);
 
     void onReport(instant now, const target_id &target, const engine_report &report);
     void onReportFailed(instant now, const target_id &target);
@@ -162,8 +169,8 @@
     bool serveWant(instant now, const target_pool &pool, const adapter_want &want, residency_steps &steps);
     void followPlan(instant now, const target_pool &pool, residency_steps &steps);
     bool startLoad(instant now, const target_pool &pool, const wanted_load &load, residency_steps &steps);
-    bool
-    makeRoom(instant now, const target_pool &pool, engine &at, const target_id &id, const wanted_target *wanted, residency_steps &steps);
+    bool makeRoom(instant now, const target_pool &pool, engine &at, const target_id &id, residency_steps &steps);
+    bool mayGo(const model_id &model, const service_id &service, const target_id &from, const target_pool &pool) const;
     void retire(instant now, const target_pool &pool, residency_steps &steps);
     void askReports(instant now, residency_steps &steps);
     void apply(engine &at, const residency_order &order);
@@ -181,7 +188,7 @@
     std::map<target_id, engine> m_engines;
     std::map<adapter_want, instant> m_wants; ///< and until when each holds
     std::map<adapter_key, adapter_use> m_used;
-    std::map<service_id, wanted_placement> m_plans;
+    std::map<service_id, residency_plan> m_plans;
     std::deque<instant> m_loadStarts; ///< of loads that may come from the weight store, oldest first
     std::vector<due_news> m_due;
     instant m_adaptersFrom{}; ///< no adapter is moved before
--- a/packages/gateway/lib/residency_duty.cpp
+++ b/packages/gateway/lib/residency_duty.cpp
@@ -2,11 +2,18 @@
 /// The duty of ordering what targets hold.
 #include "fuchsialoom/gateway/residency_duty.h"
 
+#include <algorithm>
+
 namespace fuchsialoom
 {
 
 /// Between two plans. Demand is smoothed over 0.6 s, and a load takes 0.4 s or more.
 static constexpr milliseconds planEvery{400};
+/// Streams a second that a model without a place gains while it is asked for: with the bonus of the
+/// resident ones, its turn comes after some ten seconds.
+static constexpr double waitingWeight = 0.3;
+/// Below this nobody asks for a model.
+static constexpr double leastAsked = 0.05;
 /// A holder that wasn't heard for so long may be gone: several of its digests.
 static constexpr milliseconds servedSilence{800};
 
@@ -69,11 +76,16 @@
         return;
     }
     const instant now = loopNow();
+    double loadSeconds = 0;
     for (const auto &[service, traits] : m_gateway.configuration().services) {
         if (traits.engine) {
             m_keeper.setTraits(service, *traits.engine);
+            for (const served_model &model : traits.engine->models) {
+                loadSeconds = std::max(loadSeconds, model.loadSeconds);
+            }
         }
     }
+    m_demand.setMemory(loadSeconds);
     m_demand.advance(now);
     if (now >= m_planAt) {
         m_planAt = now + planEvery;
@@ -82,12 +94,71 @@
     step();
 }
 
-void residency_duty::plan(instant)
+/// The models most in demand, each as name:streams/copies, for the log.
+static std::string describeDemand(const demand_view &demand, const target_pool &pool)
+{
+    static constexpr std::size_t mostNamed = 6;
+    std::vector<std::pair<double, model_id>> models;
+    for (const auto &[model, streams] : demand.models()) {
+        models.emplace_back(-streams.now, model);
+    }
+    std::sort(models.begin(), models.end());
+    models.resize(std::min(models.size(), mostNamed));
+    std::string text;
+    for (const auto &[streams, model] : models) {
+        const auto copies = std::count_if(pool.targets().begin(), pool.targets().end(), [&model = model](const auto &target) {
+            return target.second.holds(model, {});
+        });
+        text.append(text.empty() ? "" : ",").append(model.text()).append(":");
+        text.append(std::to_string(static_cast<int>(-streams))).append("/").append(std::to_string(copies));
+    }
+    return text;
+}
+
+static std::string describeLoads(const wanted_placement &plan)
+{
+    std::string text;
+    for (const wanted_load &load : plan.loads) {
+        text.append(text.empty() ? "" : ",").append(load.model.text()).append("@").append(load.target.text());
+    }
+    return text;
+}
+
+/// A model that is asked for and has no place gains weight with time, so that it gets its turn.
+void residency_duty::noteUnserved(instant now)
 {
+    const double passed = m_unservedAt == instant{} ? 0 : std::chrono::duration<double>(now - m_unservedAt).count();
+    m_unservedAt = now;
+    for (const auto &[model, streams] : m_demand.models()) {
+        const bool held =
+            std::any_of(m_gateway.pool().targets().begin(), m_gateway.pool().targets().end(), [&model = model](const auto &target) {
+                return target.second.holds(model, {});
+            });
+        if (held) {
+            m_unserved.erase(model);
+        } else if (streams.now > leastAsked) {
+            m_unserved[model] += passed * waitingWeight;
+        }
+    }
+}
+
+void residency_duty::plan(instant now)
+{
+    noteUnserved(now);
     for (const auto &[service, traits] : m_gateway.configuration().services) {
-        if (traits.engine) {
-            m_keeper.setPlan(service, planResidency(service, *traits.engine, m_gateway.pool(), m_keeper, m_demand));
+        if (!traits.engine) {
+            continue;
+        }
+        residency_plan plan = planResidency(service, *traits.engine, m_gateway.pool(), m_keeper, m_demand, m_unserved);
+        if (!plan.wanted.loads.empty()) {
+            m_log.write(now,
+                        log_line("plan")
+                            .with("service", service)
+                            .with("demand", describeDemand(m_demand, m_gateway.pool()))
+                            .with("yielding", plan.yielding.size())
+                            .with("loads", describeLoads(plan.wanted)));
         }
+        m_keeper.setPlan(service, std::move(plan));
     }
 }
 
--- a/packages/gateway/lib/residency_keeper.cpp
+++ b/packages/gateway/lib/residency_keeper.cpp
@@ -70,7 +70,7 @@
     }
 }
 
-void residency_keeper::setPlan(const service_id &service, wanted_placement plan)
+void residency_keeper::setPlan(const service_id &service, residency_plan plan)
 {
     m_plans[service] = std::move(plan);
 }
@@ -443,19 +443,22 @@
     return copies;
 }
 
-/// Starts the unload of a model that the plan doesn't want there and another engine holds.
-bool residency_keeper::makeRoom(instant now,
-                                const target_pool &pool,
-                                engine &at,
-                                const target_id &id,
-                                const wanted_target *wanted,
-                                residency_steps &steps)
+/// Whether \p from may drop \p model: another engine holds it for certain, or the plan lets its last copy go.
+bool residency_keeper::mayGo(const model_id &model, const service_id &service, const target_id &from, const target_pool &pool) const
 {
+    const auto plan = m_plans.find(service);
+    return certainCopies(model, from, pool) > 0 || (plan != m_plans.end() && plan->second.yielding.contains(model));
+}
+
+/// Starts the unload of a model that the plan doesn't want there and that may go.
+bool residency_keeper::makeRoom(instant now, const target_pool &pool, engine &at, const target_id &id, residency_steps &steps)
+{
+    const wanted_target *wanted = m_plans.at(at.service).wanted.find(id);
     for (const held_model &held : at.models) {
         const bool kept = wanted && std::any_of(wanted->models.begin(), wanted->models.end(), [&held](const resident_model &one) {
                               return one.model == held.model;
                           });
-        if (kept || certainCopies(held.model, id, pool) == 0) {
+        if (kept || !mayGo(held.model, at.service, id, pool)) {
             continue;
         }
         at.retiring = residency_order{id, pool.find(id)->listed.address, false, held.model, {}, 0};
@@ -480,7 +483,7 @@
         return false;
     }
     if (megabytesOf(at, traits) + model->megabytes > traits.megabytes) {
-        return makeRoom(now, pool, at, load.target, m_plans.at(at.service).find(load.target), steps);
+        return makeRoom(now, pool, at, load.target, steps);
     }
     if (!at.atHand.contains(load.model)) {
         if (!mayStartLoad(now, traits, model->loadSeconds)) {
@@ -495,7 +498,7 @@
 void residency_keeper::followPlan(instant now, const target_pool &pool, residency_steps &steps)
 {
     for (const auto &[service, plan] : m_plans) {
-        for (const wanted_load &load : plan.loads) {
+        for (const wanted_load &load : plan.wanted.loads) {
             if (load.adapter.empty()) {
                 startLoad(now, pool, load, steps);
             }
@@ -512,7 +515,7 @@
         }
         const residency_order order = *at.retiring;
         at.retiring.reset();
-        if (!at.known || at.busy || !holdsModel(at.models, order.model) || certainCopies(order.model, id, pool) == 0) {
+        if (!at.known || at.busy || !holdsModel(at.models, order.model) || !mayGo(order.model, at.service, id, pool)) {
             if (at.known && holdsModel(at.models, order.model)) {
                 steps.news.push_back({id, order.model, {}, true});
             }
--- a/packages/gateway/lib/residency_plan.cpp
+++ b/packages/gateway/lib/residency_plan.cpp
@@ -4,6 +4,9 @@
 
 #include "fuchsialoom/core/placement.h"
 
+#include <algorithm>
+#include <cmath>
+
 namespace fuchsialoom
 {
 
@@ -38,35 +41,120 @@
     return made;
 }
 
-wanted_placement planResidency(const service_id &service,
-                               const engine_traits &traits,
-                               const target_pool &pool,
-                               const residency_keeper &keeper,
-                               const demand_view &demand)
+/// Seconds that a plan looks ahead on a rise: a load takes about one, its order and the news of it half a one.
+static constexpr double lookAhead = 1.5;
+/// A resident model is worth so many streams more than one that isn't, so that places don't change hands
+/// for a request or two.
+static constexpr double residentBonus = 2.0;
+
+/// Streams that \p model is to have places for.
+static double wantedStreams(const model_id &model, const demand_view &demand)
+{
+    const auto found = demand.models().find(model);
+    return found == demand.models().end() ? 0 : headroom * demand_view::projected(found->second, lookAhead);
+}
+
+static std::size_t copiesOf(const model_id &model, const std::vector<placement_target> &targets)
+{
+    return static_cast<std::size_t>(std::count_if(targets.begin(), targets.end(), [&model](const placement_target &target) {
+        return target.use == target_use::Serving
+            && std::any_of(target.models.begin(), target.models.end(), [&model](const resident_model &one) {
+                   return one.model == model;
+               });
+    }));
+}
+
+/// Where engines are too few to hold every model and the copies that the busy ones need, the models asked
+/// for least lose their claim to a place: they are loaded when they are asked for again. A place of a busy
+/// model serves tens of streams, that of a quiet one less than one.
+static void
+yieldPlaces(placement_input &input, const engine_traits &traits, const demand_view &demand, const std::map<model_id, double> &unserved)
+{
+    double largest = 1;
+    for (const served_model &model : traits.models) {
+        largest = std::max(largest, model.megabytes);
+    }
+    const auto serving =
+        static_cast<std::size_t>(std::count_if(input.targets.begin(), input.targets.end(), [](const placement_target &target) {
+            return target.use == target_use::Serving;
+        }));
+    const std::size_t places = serving * static_cast<std::size_t>(traits.megabytes / largest);
+    std::size_t needed = 0;
+    for (const placement_model &model : input.models) {
+        needed += std::max<std::size_t>(1, static_cast<std::size_t>(std::ceil(wantedStreams(model.model, demand) / traits.slots)));
+    }
+    if (needed <= places) {
+        return;
+    }
+    std::vector<std::pair<double, placement_model *>> byNeed;
+    for (placement_model &model : input.models) {
+        const auto waits = unserved.find(model.model);
+        const bool resident = copiesOf(model.model, input.targets) > 0;
+        const double need =
+            wantedStreams(model.model, demand) + (resident ? residentBonus : 0) + (waits == unserved.end() ? 0 : waits->second);
+        byNeed.emplace_back(need, &model);
+    }
+    std::sort(byNeed.begin(), byNeed.end(), [](const auto &left, const auto &right) {
+        return std::pair(left.first, left.second->model) < std::pair(right.first, right.second->model);
+    });
+    const std::size_t yielding = std::min(needed - places, byNeed.size() / 2);
+    for (std::size_t at = 0; at < yielding; ++at) {
+        byNeed[at].second->homed = false;
+    }
+}
+
+/// What many wait for is loaded first, whatever the plan's own order: loads are few at once.
+static void orderByNeed(wanted_placement &wanted, const placement_input &input, const demand_view &demand)
+{
+    const auto needOf = [&](const wanted_load &load) {
+        return wantedStreams(load.model, demand) / static_cast<double>(copiesOf(load.model, input.targets) + 1);
+    };
+    std::stable_sort(wanted.loads.begin(), wanted.loads.end(), [&needOf](const wanted_load &left, const wanted_load &right) {
+        return needOf(left) > needOf(right);
+    });
+}
+
+residency_plan planResidency(const service_id &service,
+                             const engine_traits &traits,
+                             const target_pool &pool,
+                             const residency_keeper &keeper,
+                             const demand_view &demand,
+                             const std::map<model_id, double> &unserved)
 {
     placement_input input;
     input.domain = domain_id(service.text());
     input.options.moveCost = leastGain * minutesOfDemand;
     input.options.keepSwapRoom = false;
     for (const auto &[id, target] : pool.targets()) {
-        const std::vector<held_model> *held = keeper.heldBy(id);
-        if (target.listed.service == service && held) {
-            input.targets.push_back(targetOf(target, *held, traits));
+        if (target.listed.service != service || !target.listed.isEngine) {
+            continue;
         }
+        // An engine whose report is awaited holds what it is listed with: without it, its models would
+        // seem to be lost and be loaded elsewhere.
+        const std::vector<held_model> *held = keeper.heldBy(id);
+        input.targets.push_back(targetOf(target, held ? *held : target.listed.models, traits));
     }
     for (const served_model &model : traits.models) {
         placement_model made;
         made.model = model.model;
         made.version = onlyVersion;
         made.bytes = static_cast<std::uint64_t>(model.megabytes * bytesPerMegabyte);
+        made.currentPerMinute = minutesOfDemand * wantedStreams(model.model, demand);
         const auto streams = demand.models().find(model.model);
-        if (streams != demand.models().end()) {
-            made.currentPerMinute = headroom * minutesOfDemand * streams->second.now;
-            made.requestsPerMinute = headroom * minutesOfDemand * streams->second.remembered;
-        }
+        const double remembered = streams == demand.models().end() ? 0 : streams->second.remembered;
+        made.requestsPerMinute = std::max(made.currentPerMinute, headroom * minutesOfDemand * remembered);
         input.models.push_back(std::move(made));
     }
-    return planPlacement(input).wanted;
+    yieldPlaces(input, traits, demand, unserved);
+    residency_plan plan;
+    for (const placement_model &model : input.models) {
+        if (!model.homed) {
+            plan.yielding.insert(model.model);
+        }
+    }
+    plan.wanted = planPlacement(input).wanted;
+    orderByNeed(plan.wanted, input, demand);
+    return plan;
 }
 
 } // namespace fuchsialoom
--- a/packages/gateway/unittests/peer_digest_test.cpp
+++ b/packages/gateway/unittests/peer_digest_test.cpp
@@ -58,6 +58,7 @@
 {
     constexpr instant start = instant(std::chrono::seconds(1000));
     demand_view view;
+    view.setMemory(6);
     view.tell(start, vm_id("a"), {{model_id("m"), {}, 0, 0, 10}});
     view.tell(start, vm_id("b"), {{model_id("m"), {}, 0, 5, 5}});
     view.advance(start);
--- a/packages/gateway/unittests/residency_keeper_test.cpp
+++ b/packages/gateway/unittests/residency_keeper_test.cpp
@@ -151,19 +151,19 @@
         m_engines[target_id(newId)];
     }
 
-    wanted_placement planOf(const std::map<int, std::vector<int>> &models)
+    residency_plan planOf(const std::map<int, std::vector<int>> &models)
     {
-        wanted_placement plan;
+        residency_plan plan;
         for (const auto &[engine, wanted] : models) {
             const target_id id("e" + std::to_string(engine));
             wanted_target target{id, {}, {}};
             for (const int model : wanted) {
                 target.models.push_back({modelAt(model), version_id("newest"), 70});
                 if (!m_engines.at(id).held.contains(modelAt(model))) {
-                    plan.loads.push_back({id, modelAt(model), version_id("newest"), {}, 70, move_cause::Demand});
+                    plan.wanted.loads.push_back({id, modelAt(model), version_id("newest"), {}, 70, move_cause::Demand});
                 }
             }
-            plan.targets.push_back(std::move(target));
+            plan.wanted.targets.push_back(std::move(target));
         }
         return plan;
     }
@@ -375,6 +375,22 @@
     EXPECT_EQ(world.overloads(), 0);
 }
 
+TEST(residency_keeper, aLastCopyGoesOnlyWhereThePlanLetsIt)
+{
+    keeper_world world(5, 1, 0, 0);
+    world.engine(0).held = {{keeper_world::modelAt(0), {}}, {keeper_world::modelAt(1), {}}, {keeper_world::modelAt(2), {}}};
+    world.run(milliseconds(300));
+    residency_plan plan = world.planOf({{0, {1, 2, 3}}});
+    world.keeper().setPlan(service, plan);
+    world.run(seconds(4));
+    EXPECT_TRUE(world.engine(0).held.contains(keeper_world::modelAt(0)));
+    plan.yielding = {keeper_world::modelAt(0)};
+    world.keeper().setPlan(service, plan);
+    world.run(seconds(4));
+    EXPECT_FALSE(world.engine(0).held.contains(keeper_world::modelAt(0)));
+    EXPECT_TRUE(world.engine(0).held.contains(keeper_world::modelAt(3)));
+}
+
 TEST(residency_keeper, keepsTheStoresRate)
 {
     keeper_world world(4, 12, 0, 0);
