Queue: on time first, late ones refused before their callers leave

Ruled out: more requests at an engine than it has slots (a step takes 0.02 ms more for each, but what waits there waits in the order of arrival).

Change: waiting_rules: what can still meet its objective goes first, by rank; what is late goes behind it; a stream that can't start before its caller leaves is refused as not run, with the time at which there will be room. A target that refuses is avoided for 250 ms.

--- a/packages/gateway/include/fuchsialoom/gateway/gateway.h
+++ b/packages/gateway/include/fuchsialoom/gateway/gateway.h
@@ -147,6 +147,8 @@
     void enqueue(const std::shared_ptr<exchange> &one);
     void forget(exchange &one);
     bool tryDispatch(exchange &one);
+    /// What can't meet its objective any more goes behind what can.
+    void demoteLate(instant now);
     void refuseUnreachable(instant now);
     void armQueueTimer();
     shared_budget &budgetOf(const service_id &service);
--- /dev/null
+++ b/packages/gateway/include/fuchsialoom/gateway/waiting_rules.h
@@ -0,0 +1,29 @@
+/// \file
+/// How long a request may wait for a target, and in which order waiting requests go. Pure.
+///
+/// Under more load than the targets take, first come first served makes every request late: each waits as
+/// long as the backlog lasts. So those that can still meet their objective go first, and what is late already
+/// goes behind them until its caller would leave. At twice the load that a target takes, that serves most of
+/// what it takes on time instead of next to nothing (waiting_rules_test plays both).
+#pragma once
+
+#include "fuchsialoom/gateway/routes.h"
+
+namespace fuchsialoom
+{
+
+struct waiting_bounds
+{
+    instant patience; ///< the caller waits no longer
+    instant answerUntil; ///< and the operator wants no answer later than this
+    instant objectiveUntil; ///< sent by then, it can still earn its full credit
+    instant queueUntil; ///< not sent by then, its caller leaves before the first event comes
+};
+
+/// For a request of \p of that came at \p arrivedAt from a caller who waits \p patience from then on.
+waiting_bounds waitingBoundsOf(const route &of, instant arrivedAt, milliseconds patience);
+
+/// The queue's priority, 0 first: by rank among those on time, then by rank among the late.
+int waitingPriority(int rank, bool late);
+
+} // namespace fuchsialoom
--- a/packages/gateway/lib/exchange.cpp
+++ b/packages/gateway/lib/exchange.cpp
@@ -23,6 +23,10 @@
 static constexpr int silentGaps = 4;
 /// A target that refused a connection, or was silent, gets requests only where no other can take them.
 static constexpr milliseconds avoidUnreachable{1000};
+/// A target that refuses has no room, or changes what it holds; for so long others are asked first.
+static constexpr milliseconds avoidRefusing{250};
+/// A caller whose request a target refused may come back at once: another target may have room.
+static constexpr milliseconds retryAfterRefusal{50};
 /// The caller's own clock started before the request was here.
 static constexpr milliseconds wayOfCaller{3};
 
@@ -89,8 +93,7 @@
     const auto traits = services.find(m_service);
     m_isEngine = traits != services.end() && traits->second.engine.has_value();
     const milliseconds patience = std::max(milliseconds(0), m_facts.patience.value_or(defaultPatience) - wayOfCaller);
-    m_patience = m_arrivedAt + patience;
-    m_deadline = m_route.timeout > milliseconds(0) ? std::min(m_patience, m_arrivedAt + m_route.timeout) : m_patience;
+    m_bounds = waitingBoundsOf(m_route, m_arrivedAt, patience);
     m_history.repeatable = m_route.isRepeatable();
     m_history.attempts = std::max(1U, m_route.attempts);
 }
@@ -108,11 +111,18 @@
         entry.lane.alone = m_serial;
     }
     entry.service = m_service;
-    entry.priority = m_route.rank;
-    entry.deadline = m_deadline;
+    entry.priority = waitingPriority(m_route.rank, m_late);
+    entry.deadline = m_bounds.queueUntil;
     return entry;
 }
 
+bool exchange::turnsLate(instant now)
+{
+    const bool turns = !m_late && now >= m_bounds.objectiveUntil;
+    m_late = m_late || turns;
+    return turns;
+}
+
 target_query exchange::query() const
 {
     target_query query;
@@ -126,7 +136,7 @@
 std::string exchange::requestBytes(const pool_target &target) const
 {
     attempt_facts facts;
-    const instant until = isStream() ? m_patience : m_deadline;
+    const instant until = isStream() ? m_bounds.patience : m_bounds.answerUntil;
     facts.timeLeft = std::chrono::duration_cast<milliseconds>(until - loopNow());
     facts.target = target.listed.id;
     facts.urgency = m_route.rank;
@@ -342,6 +352,9 @@
         m_history.mayHaveRun = true;
         m_owner.m_pool.failed(now, target);
     }
+    if (outcome == attempt_outcome::NotRun) {
+        m_owner.m_pool.avoid(now, target, avoidRefusing);
+    }
     shared_budget &budget = m_owner.budgetOf(m_service);
     const retry_step step = afterAttempt(outcome, m_history, budget.allows(now));
     m_owner.m_log.writeRequest(now,
@@ -362,7 +375,7 @@
         m_owner.enqueue(shared_from_this());
         return;
     case retry_step::Refuse:
-        refuse(refusal::TargetsRefused, std::nullopt);
+        refuse(refusal::TargetsRefused, retryAfterRefusal);
         return;
     case retry_step::PassOn:
         passOnWhole();
@@ -473,7 +486,7 @@
     if (m_done) {
         return;
     }
-    const instant end = m_streamStarted ? m_patience : m_deadline;
+    const instant end = m_streamStarted ? m_bounds.patience : m_bounds.answerUntil;
     const instant next = std::max(std::min(end, silenceDeadline()), loopNow() + milliseconds(1));
     const auto self = shared_from_this();
     m_timer.expires_at(std::chrono::steady_clock::time_point(next.time_since_epoch()));
@@ -487,7 +500,7 @@
 void exchange::onTime()
 {
     const instant now = loopNow();
-    const instant end = m_streamStarted ? m_patience : m_deadline;
+    const instant end = m_streamStarted ? m_bounds.patience : m_bounds.answerUntil;
     if (now >= end) {
         onDeadline();
         return;
--- a/packages/gateway/lib/exchange.h
+++ b/packages/gateway/lib/exchange.h
@@ -5,6 +5,7 @@
 
 #include "fuchsialoom/gateway/event_scanner.h"
 #include "fuchsialoom/gateway/gateway.h"
+#include "fuchsialoom/gateway/waiting_rules.h"
 
 #include <memory>
 #include <set>
@@ -28,6 +29,9 @@
     void refuse(refusal why, std::optional<milliseconds> retryAfter);
 
     queued_request queueEntry() const;
+
+    /// Whether it can no longer meet its objective from the queue, and wasn't known to before.
+    bool turnsLate(instant now);
     target_query query() const;
     const request_facts &facts() const
     {
@@ -37,10 +41,6 @@
     {
         return m_serial;
     }
-    instant deadline() const
-    {
-        return m_deadline;
-    }
     bool isDone() const
     {
         return m_done;
@@ -96,8 +96,8 @@
     bool m_isEngine = false;
     std::uint64_t m_configVersion = 0;
     instant m_arrivedAt;
-    instant m_deadline; ///< the caller waits no longer, or the operator wants it no longer kept waiting
-    instant m_patience; ///< the caller waits no longer
+    waiting_bounds m_bounds{};
+    bool m_late = false; ///< waits behind those that can still meet their objective
     attempt_history m_history;
     std::set<target_id> m_tried;
     std::optional<attempt> m_attempt; ///< the one under way
--- a/packages/gateway/lib/gateway.cpp
+++ b/packages/gateway/lib/gateway.cpp
@@ -154,6 +154,7 @@
     m_pumping = true;
     do {
         m_pumpAgain = false;
+        demoteLate(loopNow());
         std::set<lane_key> blocked;
         while (const queued_request *next = m_queue.next(blocked)) {
             const lane_key lane = next->lane;
@@ -169,6 +170,16 @@
     armQueueTimer();
 }
 
+void gateway::demoteLate(instant now)
+{
+    for (const auto &[serial, one] : m_queued) {
+        if (one->turnsLate(now)) {
+            m_queue.remove(serial);
+            m_queue.push(one->queueEntry());
+        }
+    }
+}
+
 void gateway::refuseUnreachable(instant now)
 {
     for (const request_id &serial : m_queue.unreachable(now)) {
@@ -177,7 +188,7 @@
         if (one->m_history.mayHaveRun) {
             one->answerFailure(502, "queue-full");
         } else {
-            one->refuse(now >= one->deadline() ? refusal::TimedOut : refusal::QueueFull, retryAfter);
+            one->refuse(now >= one->m_bounds.queueUntil ? refusal::TimedOut : refusal::QueueFull, retryAfter);
         }
     }
 }
--- a/packages/gateway/lib/residency_plan.cpp
+++ b/packages/gateway/lib/residency_plan.cpp
@@ -47,6 +47,12 @@
 /// for a request or two.
 static constexpr double residentBonus = 2.0;
 
+/// A model that needs more streams than this doesn't yield: the quiet ones need less than one, and the bonus.
+static constexpr double mostYielded = 6.0;
+
+/// Streams that a place is worth less for each that is yielded at the same engine.
+static constexpr double placeBeside = 1.0;
+
 /// Streams that \p model is to have places for.
 static double wantedStreams(const model_id &model, const demand_view &demand)
 {
@@ -54,13 +60,17 @@
     return found == demand.models().end() ? 0 : headroom * demand_view::projected(found->second, lookAhead);
 }
 
+static bool holds(const placement_target &target, const model_id &model)
+{
+    return std::any_of(target.models.begin(), target.models.end(), [&model](const resident_model &one) {
+        return one.model == model;
+    });
+}
+
 static std::size_t copiesOf(const model_id &model, const std::vector<placement_target> &targets)
 {
     return static_cast<std::size_t>(std::count_if(targets.begin(), targets.end(), [&model](const placement_target &target) {
-        return target.use == target_use::Serving
-            && std::any_of(target.models.begin(), target.models.end(), [&model](const resident_model &one) {
-                   return one.model == model;
-               });
+        return target.use == target_use::Serving && holds(target, model);
     }));
 }
 
@@ -86,20 +96,39 @@
     if (needed <= places) {
         return;
     }
-    std::vector<std::pair<double, placement_model *>> byNeed;
-    for (placement_model &model : input.models) {
+    std::map<model_id, double> needs;
+    for (const placement_model &model : input.models) {
         const auto waits = unserved.find(model.model);
         const bool resident = copiesOf(model.model, input.targets) > 0;
-        const double need =
+        needs[model.model] =
             wantedStreams(model.model, demand) + (resident ? residentBonus : 0) + (waits == unserved.end() ? 0 : waits->second);
-        byNeed.emplace_back(need, &model);
     }
-    std::sort(byNeed.begin(), byNeed.end(), [](const auto &left, const auto &right) {
-        return std::pair(left.first, left.second->model) < std::pair(right.first, right.second->model);
-    });
-    const std::size_t yielding = std::min(needed - places, byNeed.size() / 2);
-    for (std::size_t at = 0; at < yielding; ++at) {
-        byNeed[at].second->homed = false;
+    // Two places at one engine are of little use: its slots are shared by what it holds.
+    std::map<target_id, std::size_t> yieldedAt;
+    const auto yieldedBeside = [&](const placement_model &model) {
+        std::size_t most = 0;
+        for (const placement_target &target : input.targets) {
+            most = std::max(most, holds(target, model.model) ? yieldedAt[target.target] : 0);
+        }
+        return most;
+    };
+    for (std::size_t yields = std::min(needed - places, input.models.size() / 2); yields > 0; --yields) {
+        placement_model *least = nullptr;
+        double leastCost = 0;
+        for (placement_model &model : input.models) {
+            const double cost = needs[model.model] + placeBeside * static_cast<double>(yieldedBeside(model));
+            if (model.homed && needs[model.model] < mostYielded && (!least || cost < leastCost)) {
+                least = &model;
+                leastCost = cost;
+            }
+        }
+        if (!least) {
+            return;
+        }
+        least->homed = false;
+        for (const placement_target &target : input.targets) {
+            yieldedAt[target.target] += holds(target, least->model) ? 1 : 0;
+        }
     }
 }
 
--- /dev/null
+++ b/packages/gateway/unittests/residency_plan_test.cpp
@@ -0,0 +1,137 @@
+/// \file
+/// The placement that demand asks for, where engines are few and where demand moves.
+#include "fuchsialoom/gateway/residency_duty.h"
+
+#include <gtest/gtest.h>
+
+#include <unistd.h>
+
+namespace fuchsialoom
+{
+
+namespace
+{
+
+constexpr instant start = instant(std::chrono::seconds(1000));
+const service_id service("models");
+
+/// Engines of three places each, all models one place large.
+class residency_plan_test : public testing::Test
+{
+protected:
+    void makeModels(int count)
+    {
+        m_traits.slots = 32;
+        m_traits.megabytes = 220000;
+        m_traits.adapterSlots = 8;
+        for (int model = 0; model < count; ++model) {
+            served_model made;
+            made.model = modelAt(model);
+            made.megabytes = 72700;
+            made.loadSeconds = 1.2;
+            m_traits.models.push_back(made);
+        }
+    }
+
+    /// Models spread one copy each, engines filled in order.
+    void makeEngines(int count)
+    {
+        for (int engine = 0; engine < count; ++engine) {
+            listed_upstream made;
+            made.id = target_id("e" + std::to_string(10 + engine));
+            made.service = service;
+            made.isEngine = true;
+            made.slots = 32;
+            for (int place = 0; place < 3; ++place) {
+                const std::size_t model = static_cast<std::size_t>(engine * 3 + place);
+                if (model < m_traits.models.size()) {
+                    made.models.push_back({m_traits.models[model].model, {}});
+                }
+            }
+            m_pool.list(start, made);
+        }
+    }
+
+    static model_id modelAt(int index)
+    {
+        return model_id("m" + std::to_string(100 + index));
+    }
+
+    void ask(const std::map<int, std::uint32_t> &running)
+    {
+        std::vector<demand_entry> entries;
+        for (const auto &[model, count] : running) {
+            entries.push_back({modelAt(model), {}, 0, 0, count});
+        }
+        m_view.setMemory(1.2);
+        for (int step = 0; step <= 40; ++step) {
+            m_view.tell(start + milliseconds(100) * step, vm_id("a"), entries);
+            m_view.advance(start + milliseconds(100) * step);
+        }
+    }
+
+    residency_plan plan(const std::map<model_id, double> &unserved = {})
+    {
+        return planResidency(service, m_traits, m_pool, m_keeper, m_view, unserved);
+    }
+
+    static std::size_t wantedCopies(const residency_plan &plan, const model_id &model)
+    {
+        std::size_t copies = 0;
+        for (const wanted_target &target : plan.wanted.targets) {
+            for (const resident_model &one : target.models) {
+                copies += one.model == model ? 1 : 0;
+            }
+        }
+        return copies;
+    }
+
+    decision_log m_log{STDERR_FILENO, "test"}; ///< never flushed
+    engine_traits m_traits;
+    target_pool m_pool{domain_id("d")};
+    residency_keeper m_keeper{{}, m_log};
+    demand_view m_view;
+};
+
+} // namespace
+
+TEST_F(residency_plan_test, aBusyModelGetsCopiesWherePlacesAreFree)
+{
+    makeModels(34);
+    makeEngines(18);
+    ask({{0, 100}});
+    const residency_plan made = plan();
+    EXPECT_GE(wantedCopies(made, modelAt(0)), 4U);
+    EXPECT_TRUE(made.yielding.empty());
+    for (int model = 0; model < 34; ++model) {
+        EXPECT_GE(wantedCopies(made, modelAt(model)), 1U);
+    }
+}
+
+/// Eleven engines have 33 places for 34 models. One copy each left the model that 142 requests are at with
+/// one engine of 32 places.
+TEST_F(residency_plan_test, quietModelsYieldToABusyOneWherePlacesAreFew)
+{
+    makeModels(34);
+    makeEngines(11);
+    ask({{0, 142}, {1, 54}, {2, 44}, {3, 24}});
+    const residency_plan made = plan();
+    EXPECT_GE(wantedCopies(made, modelAt(0)), 4U);
+    EXPECT_GE(wantedCopies(made, modelAt(1)), 2U);
+    EXPECT_FALSE(made.yielding.empty());
+    EXPECT_FALSE(made.yielding.contains(modelAt(0)));
+    ASSERT_FALSE(made.wanted.loads.empty());
+    EXPECT_EQ(made.wanted.loads.front().model, modelAt(0));
+}
+
+TEST_F(residency_plan_test, aModelThatWaitsLongGetsItsTurn)
+{
+    makeModels(34);
+    makeEngines(11);
+    ask({{0, 142}, {1, 54}, {2, 44}, {3, 24}});
+    const model_id lost = modelAt(33);
+    EXPECT_EQ(wantedCopies(plan(), lost), 0U);
+    EXPECT_GE(wantedCopies(plan({{lost, 5.0}}), lost), 1U);
+}
+
+} // namespace fuchsialoom
