Process tests against platform stand-ins; broken streams go on first

Two VMs' orders can arrive less than a turn apart when the first one's order is on its way for long: the turn was counted from sends.

Change: a stream that broke midway goes before all that haven't begun, may go on at the same engine, and waits as long as its caller.

--- a/packages/gateway/include/fuchsialoom/gateway/waiting_rules.h
+++ b/packages/gateway/include/fuchsialoom/gateway/waiting_rules.h
@@ -23,6 +23,9 @@
 /// For a request of \p of that came at \p arrivedAt from a caller who waits \p patience from then on.
 waiting_bounds waitingBoundsOf(const route &of, instant arrivedAt, milliseconds patience);
 
+/// Priority of a stream that broke midway and goes on at another target: before all that haven't begun.
+inline constexpr int continuedPriority = -1;
+
 /// The queue's priority, 0 first: by rank among those on time, then by rank among the late.
 int waitingPriority(int rank, bool late);
 
--- a/packages/gateway/lib/exchange.cpp
+++ b/packages/gateway/lib/exchange.cpp
@@ -111,8 +111,8 @@
         entry.lane.alone = m_serial;
     }
     entry.service = m_service;
-    entry.priority = waitingPriority(m_route.rank, m_late);
-    entry.deadline = m_bounds.queueUntil;
+    entry.priority = m_streamStarted ? continuedPriority : waitingPriority(m_route.rank, m_late);
+    entry.deadline = m_streamStarted ? m_bounds.patience : m_bounds.queueUntil;
     return entry;
 }
 
@@ -129,7 +129,8 @@
     query.service = m_service;
     query.model = m_isEngine ? m_facts.model : model_id();
     query.adapter = m_isEngine ? m_facts.adapter : adapter_id();
-    query.tried = &m_tried;
+    // A stream that broke midway may go on at the same engine: it is avoided for a moment, not excluded.
+    query.tried = m_streamStarted ? nullptr : &m_tried;
     return query;
 }
 
@@ -351,6 +352,7 @@
     if (outcome != attempt_outcome::NotSent && outcome != attempt_outcome::NotRun) {
         m_history.mayHaveRun = true;
         m_owner.m_pool.failed(now, target);
+        m_owner.m_pool.avoid(now, target, avoidRefusing);
     }
     if (outcome == attempt_outcome::NotRun) {
         m_owner.m_pool.avoid(now, target, avoidRefusing);
--- a/packages/gateway/lib/gateway.cpp
+++ b/packages/gateway/lib/gateway.cpp
@@ -173,7 +173,7 @@
 void gateway::demoteLate(instant now)
 {
     for (const auto &[serial, one] : m_queued) {
-        if (one->turnsLate(now)) {
+        if (!one->m_streamStarted && one->turnsLate(now)) {
             m_queue.remove(serial);
             m_queue.push(one->queueEntry());
         }
@@ -185,6 +185,10 @@
     for (const request_id &serial : m_queue.unreachable(now)) {
         const std::shared_ptr<exchange> one = m_queued.at(serial);
         const milliseconds retryAfter = m_queue.retryAfter(now, one->queueEntry().lane);
+        if (one->m_streamStarted && now < one->m_bounds.patience) {
+            // Its caller has the beginning; the rest is worth the wait.
+            continue;
+        }
         if (one->m_history.mayHaveRun) {
             one->answerFailure(502, "queue-full");
         } else {
--- a/packages/gateway/lib/residency_duty.cpp
+++ b/packages/gateway/lib/residency_duty.cpp
@@ -261,6 +261,10 @@
 
 void residency_duty::onOrdered(const residency_order &order, order_result result)
 {
+    if (result == order_result::Unknown) {
+        // Until it was given up, its bytes may have been on their way.
+        m_lease.noteOrder(clock());
+    }
     m_keeper.onOrdered(loopNow(), order, result);
     step();
 }
--- a/packages/http/include/fuchsialoom/http/caller_link.h
+++ b/packages/http/include/fuchsialoom/http/caller_link.h
@@ -127,7 +127,7 @@
 class caller_listener
 {
 public:
-    /// \throws error(InvalidOption) when \p address can't be bound.
+    /// \throws std::system_error when \p address can't be bound.
     caller_listener(asio::io_context &loop, const asio::ip::tcp::endpoint &address, caller_events events);
 
     /// Connections count against \p most; beyond it new ones wait.
--- /dev/null
+++ b/tests/platform_world.cpp
@@ -0,0 +1,185 @@
+/// \file
+/// The users' platform in small.
+#include "platform_world.h"
+
+#include "fuchsialoom/http/answer_reader.h"
+
+#include <nlohmann/json.hpp>
+
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+
+#include <sys/time.h>
+
+namespace fuchsialoom
+{
+
+std::string platform_answer::field(const std::string &name) const
+{
+    const std::size_t at = head.find("\r\n" + name + ": ");
+    if (at == std::string::npos) {
+        return "";
+    }
+    const std::size_t from = at + name.size() + 4;
+    return head.substr(from, head.find("\r\n", from) - from);
+}
+
+platform_world::platform_world()
+    : m_work(asio::make_work_guard(m_loop))
+    , m_store(std::make_unique<store_standin>(m_loop))
+{
+    std::string folder = (std::filesystem::temp_directory_path() / "fuchsialoom-platform-XXXXXX").string();
+    m_folder = ::mkdtemp(folder.data());
+    m_thread = std::thread([this] {
+        m_loop.run();
+    });
+}
+
+platform_world::~platform_world()
+{
+    m_vms.clear();
+    m_loop.stop();
+    m_thread.join();
+    std::filesystem::remove_all(m_folder);
+}
+
+void platform_world::addTarget(target_options options)
+{
+    call([&] {
+        const std::string id = options.id;
+        m_targets[id] = std::make_unique<target_standin>(m_loop, std::move(options));
+        m_store->put("keyed.servers", id, m_targets[id]->entry());
+    });
+}
+
+void platform_world::configure(int version, int chatAttempts, bool resumable)
+{
+    const auto routeOf = [](const std::string &prefix, const std::string &kind, const std::string &service, int attempts) {
+        return nlohmann::json{{"name", "r" + prefix},
+                              {"host", "h.example"},
+                              {"prefix", prefix},
+                              {"kind", kind},
+                              {"service", service},
+                              {"timeout_ms", 8000},
+                              {"slo_ms", 400},
+                              {"prio", 1},
+                              {"attempts", attempts}};
+    };
+    nlohmann::json chat = routeOf("/chat/", "stream", "models", chatAttempts);
+    chat["resumable"] = resumable;
+    chat["gap_aim_ms"] = 300;
+    nlohmann::json model{{"name", "m1"}, {"mb", 70000}, {"load_s", 0.1}, {"adapters", 4}, {"adapter_mb", 10}};
+    nlohmann::json other = model;
+    other["name"] = "m2";
+    const nlohmann::json engine{
+        {"slots", 8}, {"kv_capacity", 10000}, {"mb", 220000}, {"adapter_slots", 4}, {"loads_per_s", 10}, {"models", {model, other}}};
+    const nlohmann::json configuration{
+        {"version", version},
+        {"routes", {chat, routeOf("/post/", "non_idempotent", "plain", 1), routeOf("/get/", "idempotent", "plain", 2)}},
+        {"services", {{{"name", "models"}, {"engine", engine}}, {{"name", "plain"}}}},
+        {"limits", {{"max_header_bytes", 16384}, {"max_body_bytes", 100000}, {"header_timeout_ms", 3000}, {"idle_timeout_ms", 15000}}}};
+    call([&] {
+        m_store->put("keyed.op", "config", configuration.dump());
+    });
+}
+
+std::string platform_world::startVm(const std::string &domain)
+{
+    const std::string name = "vm-" + std::to_string(m_vms.size() + 1);
+    vm_entry &made = m_vms[name];
+    made.callers = freeAddress();
+    made.ready = freeAddress();
+    made.settings = m_folder + "/" + name + ".json";
+    const std::string peers = freeAddress();
+    const auto store = call([this] {
+        return m_store->address();
+    });
+    const nlohmann::json settings{{"vm", name},
+                                  {"domain", domain},
+                                  {"region", "r"},
+                                  {"callers", made.callers},
+                                  {"ready", made.ready},
+                                  // The mark that reserves a port is a datagram socket at 127.0.0.1.
+                                  {"address", "127.0.0.2"},
+                                  {"firstPort", std::stoi(peers.substr(peers.find(':') + 1))},
+                                  {"lastPort", 65535},
+                                  {"seeds", nlohmann::json::array()},
+                                  {"store", "127.0.0.1:" + std::to_string(store.port())},
+                                  {"limits", {{"max_fds", 4096}}},
+                                  {"bounds", {{"lease_ms", 500}, {"grace_s", 8}}}};
+    std::ofstream(made.settings) << settings.dump();
+    made.process = std::make_unique<child_process>(name, "tools/fuchsialoomd", std::vector<std::string>{"--config=" + made.settings});
+    return name;
+}
+
+static asio::ip::tcp::endpoint endpointOf(const std::string &address)
+{
+    const std::size_t colon = address.find(':');
+    return {asio::ip::make_address(address.substr(0, colon)), static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1)))};
+}
+
+bool platform_world::isReady(const std::string &name)
+{
+    try {
+        asio::ip::tcp::socket socket(m_callers);
+        socket.connect(endpointOf(m_vms.at(name).ready));
+        asio::write(socket, asio::buffer(std::string("GET /-/ready HTTP/1.1\r\nHost: h\r\n\r\n")));
+        return receive(socket).status == 200;
+    } catch (const std::system_error &) {
+        return false; // it doesn't listen yet
+    }
+}
+
+bool platform_world::waitReady(const std::string &name)
+{
+    return waitFor([&] {
+        return isReady(name);
+    });
+}
+
+asio::ip::tcp::socket platform_world::send(const std::string &vm, const platform_request &request)
+{
+    asio::ip::tcp::socket socket(m_callers);
+    socket.connect(endpointOf(m_vms.at(vm).callers));
+    std::string head = request.method + " " + request.path + " HTTP/1.1\r\nHost: " + request.host + "\r\nX-Request-Id: " + request.id
+        + "\r\nX-Deadline-Ms: " + std::to_string(request.deadlineMs) + "\r\n" + request.more;
+    if (!request.model.empty()) {
+        head += "X-Model: " + request.model + "\r\n";
+    }
+    asio::write(socket, asio::buffer(head + "Content-Length: 2\r\n\r\nhi"));
+    return socket;
+}
+
+platform_answer platform_world::receive(asio::ip::tcp::socket &socket)
+{
+    const timeval longest{20, 0};
+    ::setsockopt(socket.native_handle(), SOL_SOCKET, SO_RCVTIMEO, &longest, sizeof longest);
+    answer_reader reader;
+    platform_answer answer;
+    std::array<char, 4096> bytes{};
+    while (!answer.complete) {
+        asio::error_code problem;
+        const std::size_t size = socket.read_some(asio::buffer(bytes), problem);
+        const answer_progress progress = problem ? reader.finish() : reader.consume(std::string_view(bytes.data(), size));
+        answer.body += progress.body;
+        answer.complete = progress.complete;
+        if (problem || progress.broken) {
+            break;
+        }
+    }
+    answer.status = reader.head().status;
+    for (const header_field &field : reader.head().headers.fields()) {
+        answer.head += "\r\n" + field.name + ": " + field.value;
+    }
+    answer.head += "\r\n";
+    return answer;
+}
+
+platform_answer platform_world::ask(const std::string &vm, const platform_request &request)
+{
+    asio::ip::tcp::socket socket = send(vm, request);
+    return receive(socket);
+}
+
+} // namespace fuchsialoom
--- /dev/null
+++ b/tests/platform_world.h
@@ -0,0 +1,120 @@
+/// \file
+/// The users' platform in small: its store, some targets and some VMs of ours as real processes, on loopback.
+#pragma once
+
+#include "child_process.h"
+#include "store_standin.h"
+#include "target_standin.h"
+
+#include <asio.hpp>
+
+#include <functional>
+#include <future>
+#include <map>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace fuchsialoom
+{
+
+/// What a caller got.
+struct platform_answer
+{
+    int status = 0; ///< 0: none
+    std::string head;
+    std::string body; ///< without its framing
+    bool complete = false; ///< ended as its framing says
+
+    /// The value of a field of the head, or nothing where it isn't there.
+    std::string field(const std::string &name) const;
+};
+
+struct platform_request
+{
+    std::string method = "POST";
+    std::string host = "h.example";
+    std::string path = "/chat/1";
+    std::string id = "r1";
+    std::string model = "m1";
+    int deadlineMs = 8000;
+    std::string more{}; ///< further head lines, each with its line end
+};
+
+class platform_world
+{
+public:
+    platform_world();
+    ~platform_world();
+
+    /// Runs \p what on the stand-ins' thread and waits for it.
+    template<typename What>
+    auto call(What what)
+    {
+        std::packaged_task<decltype(what())()> task(std::move(what));
+        auto result = task.get_future();
+        asio::post(m_loop, [&task] {
+            task();
+        });
+        return result.get();
+    }
+
+    store_standin &store()
+    {
+        return *m_store;
+    }
+    target_standin &target(const std::string &id)
+    {
+        return *m_targets.at(id);
+    }
+
+    /// A target that has written its entry.
+    void addTarget(target_options options);
+
+    /// Writes the configuration with \p version; \p chat: attempts of the route /chat/, which can be resumed
+    /// where \p resumable.
+    void configure(int version, int chatAttempts = 1, bool resumable = false);
+
+    /// Starts a VM. \return its name.
+    std::string startVm(const std::string &domain = "a");
+    child_process &vm(const std::string &name)
+    {
+        return *m_vms.at(name).process;
+    }
+    bool isReady(const std::string &name);
+    bool waitReady(const std::string &name);
+
+    platform_answer ask(const std::string &vm, const platform_request &request);
+
+    /// An open connection to \p vm that has sent \p request.
+    asio::ip::tcp::socket send(const std::string &vm, const platform_request &request);
+
+    /// Everything that comes on \p socket until it ends or the answer is whole.
+    static platform_answer receive(asio::ip::tcp::socket &socket);
+
+    asio::io_context &loop()
+    {
+        return m_callers;
+    }
+
+private:
+    struct vm_entry
+    {
+        std::unique_ptr<child_process> process;
+        std::string callers;
+        std::string ready;
+        std::string settings;
+    };
+
+    asio::io_context m_loop; ///< of the stand-ins
+    asio::io_context m_callers; ///< of the callers' sockets, which block
+    asio::executor_work_guard<asio::io_context::executor_type> m_work;
+    std::unique_ptr<store_standin> m_store;
+    std::map<std::string, std::unique_ptr<target_standin>> m_targets;
+    std::map<std::string, vm_entry> m_vms;
+    std::string m_folder;
+    std::thread m_thread;
+};
+
+} // namespace fuchsialoom
