News: an unload that waits for its runs is told again until it is over

Ruled out: full engines (in flight 1 to 3 of 32 where they refused).

Change: the holder tells it again each second. Test (5 s unload): told once before, four times or more after; red without the change.

--- a/packages/gateway/include/fuchsialoom/gateway/residency_keeper.h
+++ b/packages/gateway/include/fuchsialoom/gateway/residency_keeper.h
@@ -153,6 +153,7 @@
         std::optional<residency_order> loading; ///< accepted, its effect not yet reported
         instant loadingSince{};
         instant askAt{}; ///< the next report isn't asked for before
+        instant toldAt{}; ///< when it was last told that the model being unloaded is gone
         std::optional<residency_order> retiring; ///< an unload that waits for the news to spread
         instant retireAt{};
     };
@@ -173,6 +174,7 @@
     bool mayGo(const model_id &model, const service_id &service, const target_id &from, const target_pool &pool) const;
     void retire(instant now, const target_pool &pool, residency_steps &steps);
     void askReports(instant now, residency_steps &steps);
+    void repeatNews(instant now, residency_steps &steps);
     void apply(engine &at, const residency_order &order);
     void finishLoading(instant now, const target_id &id, engine &at);
     bool mayStartLoad(instant now, const engine_traits &traits, double loadSeconds);
--- a/packages/gateway/lib/residency_keeper.cpp
+++ b/packages/gateway/lib/residency_keeper.cpp
@@ -20,6 +20,8 @@
 static constexpr milliseconds reportEvery{200};
 /// After a report that didn't come.
 static constexpr milliseconds reportRetry{400};
+/// Between two times that an unload under way is told.
+static constexpr milliseconds newsAgain{1000};
 /// The first look at a load: the quickest take 0.4 s.
 static constexpr milliseconds firstLook{350};
 /// A want is repeated by the VMs that have it, so it lapses soon.
@@ -536,6 +538,19 @@
     }
 }
 
+/// An engine lists a model until its last run is over, and refuses requests for it meanwhile. VMs believe
+/// news for 3 s, so it is told again while the unload lasts.
+void residency_keeper::repeatNews(instant now, residency_steps &steps)
+{
+    for (auto &[id, at] : m_engines) {
+        const bool unloads = at.loading && !at.loading->load;
+        if (unloads && now - at.toldAt > newsAgain) {
+            at.toldAt = now;
+            steps.news.push_back({id, at.loading->model, {}, false});
+        }
+    }
+}
+
 residency_steps residency_keeper::step(instant now, const target_pool &pool)
 {
     residency_steps steps;
@@ -551,6 +566,7 @@
     retire(now, pool, steps);
     followPlan(now, pool, steps);
     askReports(now, steps);
+    repeatNews(now, steps);
     for (const due_news &due : m_due) {
         if (due.at <= now) {
             steps.news.push_back(due.news);
--- a/packages/gateway/unittests/residency_keeper_test.cpp
+++ b/packages/gateway/unittests/residency_keeper_test.cpp
@@ -104,6 +104,15 @@
     {
         return m_now;
     }
+    void setUnloadTime(milliseconds time)
+    {
+        m_unloadTime = time;
+    }
+    /// News that a model is gone, since the start.
+    int toldGone() const
+    {
+        return m_toldGone;
+    }
     int overloads() const
     {
         int count = 0;
@@ -230,7 +239,7 @@
             one.held[order.model];
         }
         one.working = order;
-        one.doneAt = m_now + milliseconds(order.load ? 500 : 1000);
+        one.doneAt = m_now + (order.load ? milliseconds(500) : m_unloadTime);
         return order_result::Accepted;
     }
 
@@ -289,6 +298,9 @@
                 }
             });
         }
+        for (const residency_news &news : steps.news) {
+            m_toldGone += news.adapter.empty() && !news.present ? 1 : 0;
+        }
         for (const residency_order &order : steps.orders) {
             send(order);
         }
@@ -322,6 +334,8 @@
     residency_keeper m_keeper;
     std::map<target_id, fake_engine> m_engines;
     std::map<model_id, double> m_sizes;
+    milliseconds m_unloadTime{1000};
+    int m_toldGone = 0;
     std::multimap<instant, std::function<void()>> m_due;
 };
 
@@ -375,6 +389,21 @@
     EXPECT_EQ(world.overloads(), 0);
 }
 
+/// An unload waits for runs that last 4 s and more; requests sent there meanwhile are refused.
+TEST(residency_keeper, aLongUnloadIsToldAgain)
+{
+    keeper_world world(6, 2, 0, 0);
+    for (int model = 0; model < 3; ++model) {
+        world.engine(0).held[keeper_world::modelAt(model)];
+        world.engine(1).held[keeper_world::modelAt(model)];
+    }
+    world.setUnloadTime(milliseconds(5000));
+    world.run(milliseconds(300));
+    world.keeper().setPlan(service, world.planOf({{0, {1, 2, 3}}, {1, {0, 1, 2}}}));
+    world.run(seconds(5));
+    EXPECT_GE(world.toldGone(), 4);
+}
+
 TEST(residency_keeper, aLastCopyGoesOnlyWhereThePlanLetsIt)
 {
     keeper_world world(5, 1, 0, 0);
