--- a/packages/gateway/unittests/residency_plan_test.cpp
+++ b/packages/gateway/unittests/residency_plan_test.cpp
@@ -43,7 +43,7 @@
             made.isEngine = true;
             made.slots = 32;
             for (int place = 0; place < 3; ++place) {
-                const std::size_t model = static_cast<std::size_t>(engine * 3 + place);
+                const std::size_t model = static_cast<std::size_t>(engine) * 3 + static_cast<std::size_t>(place);
                 if (model < m_traits.models.size()) {
                     made.models.push_back({m_traits.models[model].model, {}});
                 }
@@ -60,6 +60,7 @@
     void ask(const std::map<int, std::uint32_t> &running)
     {
         std::vector<demand_entry> entries;
+        entries.reserve(running.size());
         for (const auto &[model, count] : running) {
             entries.push_back({modelAt(model), {}, 0, 0, count});
         }
--- a/tests/platform_world.cpp
+++ b/tests/platform_world.cpp
@@ -86,7 +86,7 @@
 
 std::string platform_world::startVm(const std::string &domain)
 {
-    const std::string name = "vm-" + std::to_string(m_vms.size() + 1);
+    std::string name = "vm-" + std::to_string(m_vms.size() + 1);
     vm_entry &made = m_vms[name];
     made.callers = freeAddress();
     made.ready = freeAddress();
