--- a/packages/gateway/include/fuchsialoom/gateway/gateway.h
+++ b/packages/gateway/include/fuchsialoom/gateway/gateway.h
@@ -34,6 +34,7 @@
     NotConfigured, ///< no configuration is known yet
     NoTarget,
     NotResident,
+    UnknownModel, ///< the service has no such model or adapter
     QueueFull, ///< it can't start in time, by the rate at which the queue drains
     TimedOut, ///< its time ran out in the queue
     TargetsRefused,
@@ -47,6 +48,7 @@
         {refusal::NotConfigured, "not-configured"},
         {refusal::NoTarget, "no-target"},
         {refusal::NotResident, "not-resident"},
+        {refusal::UnknownModel, "unknown-model"},
         {refusal::QueueFull, "queue-full"},
         {refusal::TimedOut, "timed-out"},
         {refusal::TargetsRefused, "targets-refused"},
--- a/packages/gateway/include/fuchsialoom/gateway/routes.h
+++ b/packages/gateway/include/fuchsialoom/gateway/routes.h
@@ -90,6 +90,9 @@
     double loadsPerSecond = 0; ///< that the weight store allows over all engines
     std::vector<served_model> models;
 
+    /// Whether the service has \p model, and \p adapter of it where one is named.
+    bool serves(const model_id &model, const adapter_id &adapter) const;
+
     friend bool operator==(const engine_traits &, const engine_traits &) = default;
 };
 
--- a/packages/gateway/lib/exchange.h
+++ b/packages/gateway/lib/exchange.h
@@ -14,6 +14,9 @@
 namespace fuchsialoom
 {
 
+/// A target that refused a connection, or was silent, gets requests only where no other can take them.
+inline constexpr milliseconds avoidUnreachable{1000};
+
 class exchange : public std::enable_shared_from_this<exchange>
 {
 public:
@@ -63,6 +66,7 @@
     };
 
     void resolveRoute();
+    bool isServed() const;
     bool isStream() const
     {
         return m_route.kind == request_kind::Stream;
--- /dev/null
+++ b/packages/gateway/lib/exchange_attempts.cpp
@@ -0,0 +1,293 @@
+/// \file
+/// The attempts of one request: sending it, relaying what comes back, and what follows an attempt's end.
+#include "exchange.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace fuchsialoom
+{
+
+/// A connection to a target that isn't made by then is given up: a round trip takes 1 ms between
+/// domains and a target needs 1 ms more, but a lost packet is sent again only after a second.
+static constexpr milliseconds connectTime{250};
+/// A target that refuses has no room, or changes what it holds; for so long others are asked first.
+static constexpr milliseconds avoidRefusing{250};
+/// A caller whose request a target refused may come back at once: another target may have room.
+static constexpr milliseconds retryAfterRefusal{50};
+static constexpr int statusFailed = 502;
+
+std::string exchange::requestBytes(const pool_target &target) const
+{
+    attempt_facts facts;
+    const instant until = isStream() ? m_bounds.patience : m_bounds.answerUntil;
+    facts.timeLeft = std::chrono::duration_cast<milliseconds>(until - loopNow());
+    facts.target = target.listed.id;
+    facts.urgency = m_route.rank;
+    facts.isEngine = m_isEngine;
+    facts.resumeAfter = m_scanner.lastId();
+
+    header_list headers = m_request.headers;
+    headers.dropConnectionFields();
+    headers.erase("Content-Length");
+    headers.erase("Expect");
+    m_owner.m_dialect.writeAttempt(headers, facts);
+
+    std::string bytes = m_request.method + ' ' + m_request.target + " HTTP/1.1\r\n";
+    appendFields(bytes, headers);
+    if (!m_request.body.empty() || m_request.method == "POST" || m_request.method == "PUT") {
+        bytes.append("Content-Length: ").append(std::to_string(m_request.body.size())).append("\r\n");
+    }
+    bytes.append("\r\n").append(m_request.body);
+    return bytes;
+}
+
+void exchange::dispatch(const pool_target &target)
+{
+    assert(!m_attempt);
+    const instant now = loopNow();
+    m_owner.m_log.writeRequest(now,
+                               log_line("sent", m_facts.id)
+                                   .with("target", target.listed.id)
+                                   .with("in-flight", target.inFlight())
+                                   .with("slots", target.listed.slots)
+                                   .with("waited-ms", std::chrono::duration_cast<milliseconds>(now - m_arrivedAt))
+                                   .with("attempt", m_history.sentTo + 1)
+                                   .with("config", m_configVersion));
+    m_attempt = attempt();
+    attempt &made = *m_attempt;
+    made.target = target.listed.id;
+    made.sentAt = now;
+    made.lastByteAt = now;
+    made.link = m_owner.m_links.take(target.listed.id, target.listed.address);
+    m_tried.insert(made.target);
+    m_owner.m_pool.begin(made.target);
+    if (!m_running) {
+        m_running = true;
+        model_demand &demand = m_owner.m_demand[m_facts.model];
+        demand.running += 1;
+        if (!m_facts.adapter.empty()) {
+            demand.adapters[m_facts.adapter].running += 1;
+        }
+    }
+    m_attemptNumber += 1;
+    if (m_attemptNumber > 1) {
+        m_owner.m_metrics.add(metric::Retries);
+    }
+    if (m_streamStarted) {
+        m_owner.m_metrics.add(metric::Resumes);
+    }
+    m_scanner.restart();
+    made.link->send(requestBytes(target), m_request.method == "HEAD", now + connectTime, eventsOf(m_attemptNumber));
+    armTimer();
+}
+
+/// Events of an attempt that was given up meanwhile are dropped.
+link_events exchange::eventsOf(std::uint32_t number)
+{
+    const auto self = shared_from_this();
+    const auto current = [self, number] {
+        return self->m_attempt && self->m_attemptNumber == number;
+    };
+    link_events events;
+    events.isMine = [self](const answer_head &head) {
+        const answer_facts facts = self->m_owner.m_dialect.readAnswer(head);
+        if (facts.answers.empty()) {
+            return head.status < 200 || head.status >= 300;
+        }
+        return facts.answers == self->m_facts.id;
+    };
+    events.onHead = [self, current](const answer_head &head) {
+        if (current()) {
+            self->onHead(head);
+        }
+    };
+    events.onBody = [self, current](std::string_view bytes) {
+        if (current()) {
+            self->onBody(bytes);
+        }
+    };
+    events.onComplete = [self, current] {
+        if (current()) {
+            self->onComplete();
+        }
+    };
+    events.onFailure = [self, current](link_failure how, bool sent) {
+        if (current()) {
+            self->onFailure(how, sent);
+        }
+    };
+    return events;
+}
+
+void exchange::onHead(const answer_head &head)
+{
+    m_attempt->headCame = true;
+    m_attempt->lastByteAt = loopNow();
+    m_attempt->head = head;
+    m_attempt->isSigned = m_owner.m_dialect.readAnswer(head).signedByTarget;
+    m_attempt->passesEvents = isStream() && head.status == 200 && m_attempt->isSigned;
+}
+
+void exchange::onBody(std::string_view bytes)
+{
+    const instant now = loopNow();
+    if (!m_attempt->passesEvents) {
+        m_attempt->lastByteAt = now;
+        m_attempt->body.append(bytes);
+        return;
+    }
+    const std::string events = m_scanner.feed(bytes);
+    if (events.empty()) {
+        return;
+    }
+    if (m_streamStarted) {
+        const auto gap = std::chrono::duration_cast<milliseconds>(now - m_attempt->lastByteAt);
+        m_owner.m_metrics.observe(metric::TokenGap, now - m_attempt->lastByteAt);
+        m_gapMs = std::max(m_gapMs, static_cast<std::uint64_t>(gap.count()));
+    }
+    m_attempt->lastByteAt = now;
+    relay(events);
+}
+
+/// The head goes with the first event: until then another target can still take the request.
+void exchange::relay(std::string_view events)
+{
+    if (!m_streamStarted) {
+        m_streamStarted = true;
+        m_firstEventAt = loopNow();
+        m_owner.m_metrics.observe(metric::FirstToken, m_firstEventAt - m_arrivedAt);
+        header_list headers = m_attempt->head.headers;
+        headers.dropConnectionFields();
+        m_caller->startStream(m_attempt->head.status, std::move(headers));
+    }
+    m_caller->sendPart(events);
+}
+
+void exchange::onComplete()
+{
+    const answer_facts facts = m_owner.m_dialect.readAnswer(m_attempt->head);
+    const int status = m_attempt->head.status;
+    const bool promises = status == 408 || status == 421 || status == 429 || status == 503;
+    const bool good = status >= 200 && status < 300;
+    if (facts.otherTarget) {
+        m_owner.m_pool.noteAbsent(loopNow(), m_attempt->target, m_facts.model, m_facts.adapter);
+    }
+    if (facts.notRun || facts.otherTarget) {
+        follow(attempt_outcome::NotRun);
+    } else if (m_attempt->passesEvents) {
+        finishStream();
+    } else if (promises || (good && !facts.signedByTarget)) {
+        // Without its own word that it didn't run the request, a target's refusal promises nothing.
+        follow(attempt_outcome::Broken);
+    } else if (status >= 500) {
+        follow(attempt_outcome::Failed);
+    } else {
+        m_owner.m_pool.succeeded(loopNow(), m_attempt->target);
+        passOnWhole();
+    }
+}
+
+void exchange::finishStream()
+{
+    m_owner.m_pool.succeeded(loopNow(), m_attempt->target);
+    const std::string rest = m_scanner.rest();
+    if (!m_streamStarted || !rest.empty()) {
+        relay(rest);
+    }
+    m_caller->endStream();
+    finish("answered", "stream");
+}
+
+void exchange::passOnWhole()
+{
+    header_list headers = m_attempt->head.headers;
+    headers.dropConnectionFields();
+    if (m_streamStarted) {
+        // A stream that was to go on elsewhere met a failure there.
+        m_caller->abort();
+        finish("failed", "broken-stream");
+        return;
+    }
+    m_caller->respond(m_attempt->head.status, std::move(headers), m_attempt->body);
+    finish("answered", "whole");
+}
+
+void exchange::onFailure(link_failure how, bool sent)
+{
+    const instant now = loopNow();
+    m_owner.m_log.writeRequest(now,
+                               log_line("attempt-broke", m_facts.id)
+                                   .with("target", m_attempt->target)
+                                   .with("how", how)
+                                   .with("head", m_attempt->headCame ? "yes" : "no")
+                                   .with("events", m_scanner.count())
+                                   .with("after-ms", std::chrono::duration_cast<milliseconds>(now - m_attempt->sentAt)));
+    if (!sent) {
+        m_owner.m_pool.avoid(now, m_attempt->target, avoidUnreachable);
+        follow(attempt_outcome::NotSent);
+        return;
+    }
+    follow(attempt_outcome::Broken);
+}
+
+void exchange::follow(attempt_outcome outcome)
+{
+    const instant now = loopNow();
+    const target_id target = m_attempt->target;
+    if (outcome == attempt_outcome::NotSent) {
+        m_history.unsentTries += 1;
+    } else {
+        m_history.sentTo += 1;
+    }
+    if (outcome != attempt_outcome::NotSent && outcome != attempt_outcome::NotRun) {
+        m_history.mayHaveRun = true;
+        m_owner.m_pool.failed(now, target);
+        m_owner.m_pool.avoid(now, target, avoidRefusing);
+    }
+    if (outcome == attempt_outcome::NotRun) {
+        m_owner.m_pool.avoid(now, target, avoidRefusing);
+    }
+    shared_budget &budget = m_owner.budgetOf(m_service);
+    const retry_step step = afterAttempt(outcome, m_history, budget.allows(now));
+    m_owner.m_log.writeRequest(now,
+                               log_line("attempt-ended", m_facts.id)
+                                   .with("target", target)
+                                   .with("outcome", outcome)
+                                   .with("status", m_attempt->head.status)
+                                   .with("sent-to", m_history.sentTo)
+                                   .with("attempts", m_history.attempts)
+                                   .with("step", step));
+    switch (step) {
+    case retry_step::TryElsewhere:
+        if (outcome != attempt_outcome::NotSent) {
+            budget.countRepeat(now);
+            m_owner.m_counters.repeats += 1;
+        }
+        endAttempt();
+        m_owner.enqueue(shared_from_this());
+        return;
+    case retry_step::Refuse:
+        refuse(refusal::TargetsRefused, retryAfterRefusal);
+        return;
+    case retry_step::PassOn:
+        passOnWhole();
+        return;
+    case retry_step::Fail:
+        answerFailure(statusFailed, nameOf(outcome));
+        return;
+    }
+}
+
+void exchange::endAttempt()
+{
+    if (!m_attempt) {
+        return;
+    }
+    const target_id target = m_attempt->target;
+    m_owner.m_pool.end(target);
+    m_owner.m_links.give(target, m_attempt->link);
+    m_attempt.reset();
+}
+
+} // namespace fuchsialoom
--- a/packages/gateway/lib/routes.cpp
+++ b/packages/gateway/lib/routes.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <charconv>
 
 namespace fuchsialoom
 {
@@ -17,6 +18,27 @@
     return lower;
 }
 
+/// Adapters are named a1, a2, and so on.
+static bool hasAdapter(const served_model &model, const adapter_id &adapter)
+{
+    const std::string &name = adapter.text();
+    std::uint32_t number = 0;
+    const char *end = name.data() + name.size();
+    const auto parsed =
+        name.starts_with('a') ? std::from_chars(name.data() + 1, end, number) : std::from_chars_result{nullptr, std::errc()};
+    return parsed.ptr == end && parsed.ec == std::errc() && number >= 1 && number <= model.adapters && name[1] != '0';
+}
+
+bool engine_traits::serves(const model_id &model, const adapter_id &adapter) const
+{
+    for (const served_model &one : models) {
+        if (one.model == model) {
+            return adapter.empty() || hasAdapter(one, adapter);
+        }
+    }
+    return false;
+}
+
 void route_table::assign(std::vector<route> routes)
 {
     m_hosts.clear();
--- a/packages/gateway/unittests/routes_test.cpp
+++ b/packages/gateway/unittests/routes_test.cpp
@@ -45,6 +45,22 @@
     EXPECT_EQ(counts[service_id("none")], 0);
 }
 
+TEST(engine_traits, knowsItsModelsAndTheirAdapters)
+{
+    engine_traits traits;
+    served_model model;
+    model.model = model_id("m");
+    model.adapters = 12;
+    traits.models.push_back(model);
+    EXPECT_TRUE(traits.serves(model_id("m"), {}));
+    EXPECT_TRUE(traits.serves(model_id("m"), adapter_id("a1")));
+    EXPECT_TRUE(traits.serves(model_id("m"), adapter_id("a12")));
+    EXPECT_FALSE(traits.serves(model_id("n"), {}));
+    for (const char *name : {"a0", "a13", "a", "b1", "a1x", "a01", "1", "a-1", "a99999999999999999999"}) {
+        EXPECT_FALSE(traits.serves(model_id("m"), adapter_id(name))) << name;
+    }
+}
+
 TEST(route, onlyIdempotentRequestsAndResumableStreamsAreRepeatable)
 {
     route one;
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -110,6 +110,20 @@
     EXPECT_EQ(answer.body, wholeStream(4));
 }
 
+/// Names that a caller made up are refused at once, and cost no engine an order.
+TEST_F(platform_test, anUnknownModelIsRefusedAtOnce)
+{
+    startSmall();
+    EXPECT_EQ(m_world.ask(m_vm, {.id = "u1", .model = "nope"}).status, 503);
+    EXPECT_EQ(m_world.ask(m_vm, {.id = "u2", .model = "m1/a99"}).status, 503);
+    EXPECT_TRUE(waitFor([&] {
+        return m_world.vm(m_vm).output().find("reason=unknown-model") != std::string::npos;
+    }));
+    EXPECT_TRUE(m_world.call([&] {
+        return m_world.target("e1").fences().empty();
+    }));
+}
+
 TEST_F(platform_test, aModelThatNobodyHoldsIsLoaded)
 {
     m_world.configure(1);
