--- a/packages/gateway/unittests/waiting_rules_test.cpp
+++ b/packages/gateway/unittests/waiting_rules_test.cpp
@@ -123,7 +123,7 @@
 {
     const served_counts before = play(2.0, false);
     const served_counts after = play(2.0, true);
-    // First come, first served: 18 of some 600 were on time; by the rules it is most of what is served.
+    // First come, first served, next to nothing is on time; by the rules it is most of what is served.
     EXPECT_LT(before.onTime, 60);
     EXPECT_GT(after.onTime, 400);
     EXPECT_GE(after.onTime + after.late, before.onTime + before.late - 20);
