Placement: copies by highest averages, planned only from a complete listing

(1) Engines are listed one by one over 2.5 s after a start; the holder planned in between, took most models for lost and dropped five of the ten copies of the busiest model before the first request. Change: replica_plan gives places out one by one to the model with the most streams for each copy; copies change hands only for 1.3 times what the other loses; an only copy counts like 0.8 of an engine's slots. The first plan waits until nothing new was listed for 2.2 s. No room is made before the weight store allows the load.

--- /dev/null
+++ b/packages/gateway/include/fuchsialoom/gateway/replica_plan.h
@@ -0,0 +1,57 @@
+/// \file
+/// How many copies each model is to have, and at which engines. Pure: from what engines hold and what is
+/// asked of each model to the copies wanted and the loads that lead there.
+///
+/// Places are given out one by one, each to the model with the most streams for each copy that it would have
+/// then (highest averages), so that copies follow demand and no place stays empty while some model is busy. A
+/// copy moves from a model to a busier one only when that gains more than a load costs.
+#pragma once
+
+#include "fuchsialoom/support/ids.h"
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <vector>
+
+namespace fuchsialoom
+{
+
+struct replica_model
+{
+    model_id model;
+    double megabytes = 0;
+    double loadSeconds = 0; ///< from the weight store
+    double streams = 0; ///< that are to have places soon
+    double remembered = 0; ///< the most streams of late, fading
+    double waited = 0; ///< streams that its waiting counts as, while no engine holds it
+};
+
+struct replica_engine
+{
+    target_id target;
+    double megabytes = 0; ///< for weights
+    std::uint32_t slots = 1;
+    std::set<model_id> held; ///< resident or being loaded, and not on their way out
+    std::set<model_id> atHand; ///< weights in its memory or on its disk: quick to load
+};
+
+struct replica_load
+{
+    target_id target;
+    model_id model;
+
+    friend bool operator==(const replica_load &, const replica_load &) = default;
+};
+
+struct replica_plan
+{
+    std::map<target_id, std::set<model_id>> wanted;
+    std::vector<replica_load> loads; ///< the models with the most streams for each copy first
+    std::set<model_id> yielding; ///< models without a wanted copy: their last one may go for now
+};
+
+/// \p engines: those that serve. Lists in any order; the result depends on their content alone.
+replica_plan planReplicas(std::vector<replica_engine> engines, std::vector<replica_model> models);
+
+} // namespace fuchsialoom
--- a/packages/gateway/include/fuchsialoom/gateway/residency_keeper.h
+++ b/packages/gateway/include/fuchsialoom/gateway/residency_keeper.h
@@ -127,6 +127,12 @@
     const std::vector<held_model> *heldBy(const target_id &target) const;
     bool isReported(const target_id &target) const;
 
+    /// The model whose unload is under way or about to be.
+    std::optional<model_id> goingFrom(const target_id &target) const;
+
+    /// Models whose weights are in the engine's memory or on its disk; null before its report.
+    const std::set<model_id> *atHandOf(const target_id &target) const;
+
 private:
     using adapter_key = std::pair<model_id, adapter_id>;
 
--- a/packages/gateway/include/fuchsialoom/gateway/routes.h
+++ b/packages/gateway/include/fuchsialoom/gateway/routes.h
@@ -93,6 +93,9 @@
     /// Whether the service has \p model, and \p adapter of it where one is named.
     bool serves(const model_id &model, const adapter_id &adapter) const;
 
+    /// Null for a model that the service hasn't.
+    const served_model *find(const model_id &model) const;
+
     friend bool operator==(const engine_traits &, const engine_traits &) = default;
 };
 
--- a/packages/gateway/include/fuchsialoom/gateway/target_pool.h
+++ b/packages/gateway/include/fuchsialoom/gateway/target_pool.h
@@ -144,6 +144,9 @@
     {
         return m_targets;
     }
+    /// Whether the targets that started together are all listed, as far as can be told. Once true it stays
+    /// so: later targets come one by one.
+    bool isSettled(instant now);
 
     /// A free place at a target of \p service, and of \p model where that is set.
     bool hasRoom(const service_id &service, const model_id &model) const;
@@ -169,6 +172,8 @@
 
     const domain_id m_ownDomain;
     std::map<target_id, pool_target> m_targets;
+    instant m_lastArrival{}; ///< when a target was last listed that wasn't known before
+    bool m_settled = false;
     std::map<vm_id, peer_flights> m_peers;
     std::map<target_id, std::vector<held_news>> m_news; ///< not yet certain to be in the list; bounded by time
 };
--- a/packages/gateway/lib/held_models.h
+++ b/packages/gateway/lib/held_models.h
@@ -27,12 +27,4 @@
     });
 }
 
-inline const served_model *traitsOf(const engine_traits &traits, const model_id &model)
-{
-    const auto found = std::find_if(traits.models.begin(), traits.models.end(), [&model](const served_model &one) {
-        return one.model == model;
-    });
-    return found == traits.models.end() ? nullptr : &*found;
-}
-
 } // namespace fuchsialoom
--- /dev/null
+++ b/packages/gateway/lib/replica_plan.cpp
@@ -0,0 +1,233 @@
+/// \file
+/// Copies of models by highest averages.
+#include "fuchsialoom/gateway/replica_plan.h"
+
+#include <algorithm>
+#include <optional>
+
+namespace fuchsialoom
+{
+
+/// Streams at an engine's slots up to which a model's only copy elsewhere keeps its place: beyond that the
+/// busy model's requests wait for places, and a quiet model's wait for a load is the smaller loss.
+static constexpr double fullShare = 0.8;
+/// Streams that a further copy has to take over. A load is priced like the requests of one stream over a
+/// few seconds.
+static constexpr double leastGain = 2.0;
+/// A copy that is taken from another model has to gain so many times what the other loses, or the two would
+/// take it from each other in turns as demand moves by a request or two.
+static constexpr double leastRatio = 1.3;
+/// Streams that a resident only copy counts more than one to be loaded, for each second of a load.
+static constexpr double residentBonus = 0.6;
+/// What a place costs for each stream that its engine has already: engines share their slots.
+static constexpr double loadWeight = 0.3;
+/// Weights at hand load in a third of the time.
+static constexpr double atHandBonus = 1.0;
+
+namespace
+{
+
+class replica_planner
+{
+public:
+    replica_planner(std::vector<replica_engine> engines, std::vector<replica_model> models)
+        : m_engines(std::move(engines))
+        , m_models(std::move(models))
+        , m_copies(m_models.size(), 0)
+    {
+        std::ranges::sort(m_engines, {}, &replica_engine::target);
+        std::ranges::sort(m_models, {}, &replica_model::model);
+        readHeld();
+    }
+
+    replica_plan run()
+    {
+        std::set<std::size_t> stuck; // no engine takes a copy of these in exchange for anything
+        const std::size_t most = m_engines.size() * m_models.size();
+        for (std::size_t step = 0; step < most; ++step) {
+            const std::optional<std::size_t> model = neediest(stuck);
+            if (!model) {
+                break;
+            }
+            if (!placeCopy(*model)) {
+                stuck.insert(*model);
+            }
+        }
+        return result();
+    }
+
+private:
+    struct engine_state
+    {
+        std::vector<bool> holds; ///< by model
+        std::vector<bool> isNew; ///< placed by this plan: stays
+        double freeMegabytes = 0;
+    };
+
+    struct exchange_offer
+    {
+        std::size_t engine = 0;
+        std::optional<std::size_t> victim; ///< nothing: there is room
+        double loss = 0; ///< streams that the victim's model loses
+        double score = 0; ///< the least is taken
+    };
+
+    void readHeld()
+    {
+        for (const replica_engine &engine : m_engines) {
+            engine_state state{std::vector<bool>(m_models.size()), std::vector<bool>(m_models.size()), engine.megabytes};
+            m_slots = std::max<double>(m_slots, engine.slots);
+            for (std::size_t model = 0; model < m_models.size(); ++model) {
+                if (engine.held.contains(m_models[model].model)) {
+                    state.holds[model] = true;
+                    state.freeMegabytes -= m_models[model].megabytes;
+                    m_copies[model] += 1;
+                }
+            }
+            m_states.push_back(std::move(state));
+        }
+    }
+
+    /// Streams that the next copy of \p model would take.
+    double gainOf(std::size_t model) const
+    {
+        const replica_model &one = m_models[model];
+        if (m_copies[model] == 0) {
+            return fullShare * m_slots + one.streams + one.waited;
+        }
+        return one.streams / (m_copies[model] + 1);
+    }
+
+    /// Streams that \p model would lose with one of its copies.
+    double lossOf(std::size_t model) const
+    {
+        const replica_model &one = m_models[model];
+        if (m_copies[model] == 1) {
+            return fullShare * m_slots + one.streams + residentBonus * one.loadSeconds;
+        }
+        return std::max(one.streams, one.remembered) / m_copies[model];
+    }
+
+    std::optional<std::size_t> neediest(const std::set<std::size_t> &stuck) const
+    {
+        std::optional<std::size_t> best;
+        for (std::size_t model = 0; model < m_models.size(); ++model) {
+            const bool worthIt = m_copies[model] == 0 || gainOf(model) >= leastGain;
+            if (worthIt && !stuck.contains(model) && (!best || gainOf(model) > gainOf(*best))) {
+                best = model;
+            }
+        }
+        return best;
+    }
+
+    double loadOf(const engine_state &state) const
+    {
+        double streams = 0;
+        for (std::size_t model = 0; model < m_models.size(); ++model) {
+            if (state.holds[model]) {
+                streams += m_models[model].streams / m_copies[model];
+            }
+        }
+        return streams;
+    }
+
+    /// The cheapest way to put \p model at an engine.
+    std::optional<exchange_offer> offerAt(std::size_t engine, std::size_t model) const
+    {
+        const engine_state &state = m_states[engine];
+        if (state.holds[model]) {
+            return std::nullopt;
+        }
+        exchange_offer offer;
+        offer.engine = engine;
+        double load = loadOf(state);
+        if (state.freeMegabytes < m_models[model].megabytes) {
+            for (std::size_t other = 0; other < m_models.size(); ++other) {
+                const bool fits = state.freeMegabytes + m_models[other].megabytes >= m_models[model].megabytes;
+                if (state.holds[other] && !state.isNew[other] && fits && (!offer.victim || lossOf(other) < offer.loss)) {
+                    offer.victim = other;
+                    offer.loss = lossOf(other);
+                }
+            }
+            if (!offer.victim) {
+                return std::nullopt;
+            }
+            load -= m_models[*offer.victim].streams / m_copies[*offer.victim];
+        }
+        const bool atHand = m_engines[engine].atHand.contains(m_models[model].model);
+        offer.score = offer.loss + loadWeight * load - (atHand ? atHandBonus : 0);
+        return offer;
+    }
+
+    bool placeCopy(std::size_t model)
+    {
+        const double gain = gainOf(model);
+        std::optional<exchange_offer> best;
+        for (std::size_t engine = 0; engine < m_engines.size(); ++engine) {
+            const std::optional<exchange_offer> offer = offerAt(engine, model);
+            if (!offer || (offer->victim && gain < leastRatio * offer->loss && !isTurnOf(model, *offer->victim))) {
+                continue;
+            }
+            if (!best || offer->score < best->score) {
+                best = offer;
+            }
+        }
+        if (!best) {
+            return false;
+        }
+        engine_state &state = m_states[best->engine];
+        if (best->victim) {
+            state.holds[*best->victim] = false;
+            state.freeMegabytes += m_models[*best->victim].megabytes;
+            m_copies[*best->victim] -= 1;
+        }
+        state.holds[model] = true;
+        state.isNew[model] = true;
+        state.freeMegabytes -= m_models[model].megabytes;
+        m_copies[model] += 1;
+        m_loads.push_back({m_engines[best->engine].target, m_models[model].model});
+        return true;
+    }
+
+    /// Between two models with one place, the one whose turn it is has more streams; no ratio is asked.
+    bool isTurnOf(std::size_t model, std::size_t victim) const
+    {
+        return m_copies[model] == 0 && gainOf(model) > lossOf(victim);
+    }
+
+    replica_plan result()
+    {
+        replica_plan plan;
+        for (std::size_t engine = 0; engine < m_engines.size(); ++engine) {
+            std::set<model_id> &wanted = plan.wanted[m_engines[engine].target];
+            for (std::size_t model = 0; model < m_models.size(); ++model) {
+                if (m_states[engine].holds[model]) {
+                    wanted.insert(m_models[model].model);
+                }
+            }
+        }
+        for (std::size_t model = 0; model < m_models.size(); ++model) {
+            if (m_copies[model] == 0) {
+                plan.yielding.insert(m_models[model].model);
+            }
+        }
+        plan.loads = std::move(m_loads);
+        return plan;
+    }
+
+    std::vector<replica_engine> m_engines; ///< sorted
+    std::vector<replica_model> m_models; ///< sorted; indices are everybody's
+    std::vector<double> m_copies; ///< wanted so far, by model
+    std::vector<engine_state> m_states; ///< by engine
+    std::vector<replica_load> m_loads;
+    double m_slots = 1;
+};
+
+} // namespace
+
+replica_plan planReplicas(std::vector<replica_engine> engines, std::vector<replica_model> models)
+{
+    return replica_planner(std::move(engines), std::move(models)).run();
+}
+
+} // namespace fuchsialoom
--- a/packages/gateway/lib/residency_duty.cpp
+++ b/packages/gateway/lib/residency_duty.cpp
@@ -87,7 +87,7 @@
     }
     m_demand.setMemory(loadSeconds);
     m_demand.advance(now);
-    if (now >= m_planAt) {
+    if (now >= m_planAt && m_gateway.pool().isSettled(now)) {
         m_planAt = now + planEvery;
         plan(now);
     }
--- a/packages/gateway/lib/residency_keeper.cpp
+++ b/packages/gateway/lib/residency_keeper.cpp
@@ -72,6 +72,27 @@
     return heldBy(target) != nullptr;
 }
 
+std::optional<model_id> residency_keeper::goingFrom(const target_id &target) const
+{
+    const auto found = m_engines.find(target);
+    if (found == m_engines.end()) {
+        return std::nullopt;
+    }
+    const engine &at = found->second;
+    for (const std::optional<residency_order> *one : {&at.retiring, &at.sent, &at.loading}) {
+        if (*one && !(*one)->load && (*one)->adapter.empty()) {
+            return (*one)->model;
+        }
+    }
+    return std::nullopt;
+}
+
+const std::set<model_id> *residency_keeper::atHandOf(const target_id &target) const
+{
+    const auto found = m_engines.find(target);
+    return found == m_engines.end() || !found->second.known ? nullptr : &found->second.atHand;
+}
+
 void residency_keeper::syncEngines(const target_pool &pool)
 {
     std::erase_if(m_engines, [&pool](const auto &entry) {
@@ -88,7 +109,7 @@
 {
     double megabytes = 0;
     for (const held_model &held : at.models) {
-        const served_model *model = traitsOf(traits, held.model);
+        const served_model *model = traits.find(held.model);
         if (!model) {
             // Of unknown size: nothing more fits for certain.
             return traits.megabytes;
@@ -191,7 +212,7 @@
         handOut(now, *best, {bestId, target.listed.address, false, out->first, out->second, 0}, steps);
         return false;
     }
-    const served_model *model = traitsOf(traits->second, want.model);
+    const served_model *model = traits->second.find(want.model);
     if (!model || megabytesOf(*best, traits->second) + model->adapterMegabytes > traits->second.megabytes) {
         return false;
     }
@@ -229,8 +250,9 @@
     const double atOnce = std::max(1.0, traits.loadsPerSecond * loadSeconds);
     double underWay = 0;
     for (const auto &[id, at] : m_engines) {
-        underWay += at.loading && at.loading->load ? 1 : 0;
-        underWay += at.sent && at.sent->load && at.sent->adapter.empty() ? 1 : 0;
+        // An unload makes room for a load.
+        underWay += at.loading || at.retiring ? 1 : 0;
+        underWay += at.sent && at.sent->adapter.empty() ? 1 : 0;
     }
     return underWay + 1 <= atOnce;
 }
@@ -285,17 +307,18 @@
     }
     engine &at = found->second;
     const engine_traits &traits = m_traits.at(at.service);
-    const served_model *model = traitsOf(traits, load.model);
+    const served_model *model = traits.find(load.model);
     if (!model || !at.known || at.busy || at.sent || at.loading || at.retiring || holdsModel(at.models, load.model)) {
         return false;
     }
+    const bool fromStore = !at.atHand.contains(load.model);
+    if (fromStore && !mayStartLoad(now, traits, model->loadSeconds)) {
+        return false;
+    }
     if (megabytesOf(at, traits) + model->megabytes > traits.megabytes) {
         return makeRoom(now, pool, at, load.target, steps);
     }
-    if (!at.atHand.contains(load.model)) {
-        if (!mayStartLoad(now, traits, model->loadSeconds)) {
-            return false;
-        }
+    if (fromStore) {
         m_loadStarts.push_back(now);
     }
     handOut(now, at, {load.target, target->listed.address, true, load.model, {}, 0}, steps);
--- a/packages/gateway/lib/routes.cpp
+++ b/packages/gateway/lib/routes.cpp
@@ -31,12 +31,16 @@
 
 bool engine_traits::serves(const model_id &model, const adapter_id &adapter) const
 {
-    for (const served_model &one : models) {
-        if (one.model == model) {
-            return adapter.empty() || hasAdapter(one, adapter);
-        }
-    }
-    return false;
+    const served_model *known = find(model);
+    return known && (adapter.empty() || hasAdapter(*known, adapter));
+}
+
+const served_model *engine_traits::find(const model_id &model) const
+{
+    const auto found = std::find_if(models.begin(), models.end(), [&model](const served_model &one) {
+        return one.model == model;
+    });
+    return found == models.end() ? nullptr : &*found;
 }
 
 void route_table::assign(std::vector<route> routes)
--- a/packages/gateway/lib/target_pool.cpp
+++ b/packages/gateway/lib/target_pool.cpp
@@ -23,6 +23,10 @@
 static constexpr double foreignDomainCost = 0.04;
 /// A target that fails everything counts as twice full.
 static constexpr double troubleCost = 2.0;
+/// Targets that start together are listed one after the other, as their heartbeats come (1.2 s apart) and
+/// the list is read (each 0.9 s). A plan made in between takes most models for lost, and drops copies of the
+/// busy ones to load them again: of ten copies of the busiest model five were gone before the first request.
+static constexpr milliseconds listingSettle{2200};
 /// Spread of equal targets, so that VMs with the same view don't all choose the same one.
 static constexpr double jitter = 0.08;
 
@@ -89,11 +93,18 @@
     entry.listed = std::move(target);
     applyNews(now, entry);
     if (before.id.empty()) {
+        m_lastArrival = now;
         countPeers();
     }
     return before != entry.listed;
 }
 
+bool target_pool::isSettled(instant now)
+{
+    m_settled = m_settled || (!m_targets.empty() && now - m_lastArrival >= listingSettle);
+    return m_settled;
+}
+
 void target_pool::unlist(const target_id &id)
 {
     m_targets.erase(id);
--- /dev/null
+++ b/packages/gateway/unittests/replica_plan_test.cpp
@@ -0,0 +1,174 @@
+/// \file
+/// Copies by highest averages: what demand asks for is there, nothing is lost for it, and a plan that was
+/// carried out asks for nothing more.
+#include "fuchsialoom/gateway/replica_plan.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace fuchsialoom
+{
+
+namespace
+{
+
+constexpr double modelSize = 70;
+constexpr double engineSize = 215; ///< three models
+
+model_id modelAt(std::size_t index)
+{
+    return model_id("m" + std::to_string(100 + index));
+}
+
+/// Engines of three places and models with the streams asked of each; one copy each, dealt out in turns.
+struct replica_world
+{
+    replica_world(std::size_t engineCount, std::vector<double> streams)
+    {
+        for (std::size_t engine = 0; engine < engineCount; ++engine) {
+            replica_engine made;
+            made.target = target_id("e" + std::to_string(100 + engine));
+            made.megabytes = engineSize;
+            made.slots = 32;
+            engines.push_back(std::move(made));
+        }
+        for (std::size_t model = 0; model < streams.size(); ++model) {
+            models.push_back({modelAt(model), modelSize, 1.2, streams[model], streams[model], 0});
+            if (model < 3 * engines.size()) {
+                engines[model % engines.size()].held.insert(modelAt(model));
+            }
+        }
+    }
+
+    replica_plan plan() const
+    {
+        return planReplicas(engines, models);
+    }
+
+    void carryOut(const replica_plan &plan)
+    {
+        for (replica_engine &engine : engines) {
+            engine.held = plan.wanted.at(engine.target);
+        }
+    }
+
+    std::vector<replica_engine> engines;
+    std::vector<replica_model> models;
+};
+
+std::size_t copiesIn(const replica_plan &plan, std::size_t model)
+{
+    std::size_t copies = 0;
+    for (const auto &[target, models] : plan.wanted) {
+        copies += models.contains(modelAt(model)) ? 1 : 0;
+    }
+    return copies;
+}
+
+std::vector<double> quiet(std::size_t count, std::vector<double> busy)
+{
+    busy.resize(count, 0);
+    return busy;
+}
+
+} // namespace
+
+/// 34 models at 18 engines leave 20 places. By slots alone 58 streams are two engines' worth; spread over the
+/// places that are free anyway, a calm day's streams that paused too long fell from 7 in 100 to 2.
+TEST(replica_plan, freePlacesGoToBusyModelsByTheirDemand)
+{
+    replica_world world(18, quiet(34, {58, 24, 17, 12}));
+    const replica_plan plan = world.plan();
+    EXPECT_GE(copiesIn(plan, 0), 11U);
+    EXPECT_GE(copiesIn(plan, 1), 4U);
+    EXPECT_GE(copiesIn(plan, 2), 3U);
+    EXPECT_GE(copiesIn(plan, 3), 2U);
+    EXPECT_TRUE(plan.yielding.empty());
+}
+
+/// Copies of what was busy make way when demand moves: a model that 163 streams asked for stayed at three
+/// copies for 20 s while quieter ones got theirs.
+TEST(replica_plan, copiesFollowDemand)
+{
+    replica_world world(18, quiet(34, {63, 30, 24, 16}));
+    world.carryOut(world.plan());
+    world.models[0].streams = 20;
+    world.models[0].remembered = 40;
+    world.models[2].streams = 163;
+    const replica_plan plan = world.plan();
+    EXPECT_GE(copiesIn(plan, 2), 9U);
+    ASSERT_FALSE(plan.loads.empty());
+    EXPECT_EQ(plan.loads.front().model, modelAt(2));
+    for (std::size_t model = 0; model < world.models.size(); ++model) {
+        EXPECT_GE(copiesIn(plan, model), 1U);
+    }
+}
+
+TEST(replica_plan, aStreamOrTwoMoveNothing)
+{
+    replica_world world(18, quiet(34, {63, 30, 24, 16}));
+    world.carryOut(world.plan());
+    for (std::size_t model = 0; model < 4; ++model) {
+        world.models[model].streams += model % 2 == 0 ? 2 : -2;
+    }
+    EXPECT_TRUE(world.plan().loads.empty());
+}
+
+TEST(replica_plan, aModelAskedForTakesThePlaceOfOneThatIsNot)
+{
+    replica_world world(11, quiet(34, {40, 30, 20, 10}));
+    world.models[33].streams = 2;
+    const replica_plan plan = world.plan();
+    EXPECT_EQ(copiesIn(plan, 33), 1U);
+    EXPECT_EQ(plan.yielding.size(), 1U);
+}
+
+/// Loads of 5.8 s: a request or two aren't worth the place of a model that is there.
+TEST(replica_plan, slowLoadsKeepWhatIsThere)
+{
+    replica_world world(11, quiet(34, {40, 30, 20, 10}));
+    for (replica_model &model : world.models) {
+        model.loadSeconds = 5.8;
+    }
+    world.models[33].streams = 2;
+    EXPECT_EQ(copiesIn(world.plan(), 33), 0U);
+    world.models[33].waited = 4;
+    EXPECT_EQ(copiesIn(world.plan(), 33), 1U);
+}
+
+TEST(replica_plan, weightsAtHandAreLoadedWhereTheyAre)
+{
+    replica_world world(18, quiet(34, {12}));
+    world.engines[12].atHand.insert(modelAt(0));
+    const replica_plan plan = world.plan();
+    ASSERT_FALSE(plan.loads.empty());
+    EXPECT_EQ(plan.loads.front().target, world.engines[12].target);
+}
+
+/// No engine holds more than fits, no model is lost where there is a place for each, and the plan is at rest
+/// once it was carried out.
+RC_GTEST_PROP(replica_plan, isSafeAndComesToRest, ())
+{
+    const auto engines = *rc::gen::inRange<std::size_t>(1, 14);
+    const auto count = *rc::gen::inRange<std::size_t>(1, 40);
+    std::vector<double> streams;
+    for (std::size_t model = 0; model < count; ++model) {
+        streams.push_back(*rc::gen::inRange(0, 3) == 0 ? *rc::gen::inRange(0, 200) : 0);
+    }
+    replica_world world(engines, streams);
+    const replica_plan plan = world.plan();
+    for (const auto &[target, models] : plan.wanted) {
+        RC_ASSERT(models.size() <= 3U);
+    }
+    for (std::size_t model = 0; model < count; ++model) {
+        RC_ASSERT(copiesIn(plan, model) + plan.yielding.count(modelAt(model)) >= 1U);
+    }
+    std::size_t moved = plan.loads.size();
+    for (int round = 0; round < 6 && moved > 0; ++round) {
+        world.carryOut(world.plan());
+        moved = world.plan().loads.size();
+    }
+    RC_ASSERT(moved == 0U);
+}
+
+} // namespace fuchsialoom
--- a/packages/gateway/unittests/target_pool_test.cpp
+++ b/packages/gateway/unittests/target_pool_test.cpp
@@ -142,4 +142,16 @@
     EXPECT_GT(counts["far"], 20);
 }
 
+/// Engines that started together were listed over 2.5 s, 1.2 s apart at most.
+TEST_F(target_pool_test, aListingIsSettledOnceNothingNewComes)
+{
+    m_pool.list(start + milliseconds(1200), engineAt("second", "here", {}));
+    m_pool.list(start + milliseconds(2500), engineAt("third", "here", {}));
+    EXPECT_FALSE(m_pool.isSettled(start + milliseconds(4600)));
+    EXPECT_TRUE(m_pool.isSettled(start + milliseconds(4700)));
+    m_pool.list(start + seconds(9), engineAt("late", "here", {}));
+    EXPECT_TRUE(m_pool.isSettled(start + seconds(9)));
+    EXPECT_FALSE(target_pool(domain_id("here")).isSettled(start + seconds(9)));
+}
+
 } // namespace fuchsialoom
