Placement: a model that gains copies by a plan gives none away; unloads don't hold up loads

And unloads that wait for runs (up to 4.7 s) had come to count as loads under way, so three of them stopped all loads. Change: such a model is no victim in that plan; only loads count against the store's full speed.

--- a/packages/gateway/lib/replica_plan.cpp
+++ b/packages/gateway/lib/replica_plan.cpp
@@ -34,6 +34,7 @@
         : m_engines(std::move(engines))
         , m_models(std::move(models))
         , m_copies(m_models.size(), 0)
+        , m_grown(m_models.size(), false)
     {
         std::ranges::sort(m_engines, {}, &replica_engine::target);
         std::ranges::sort(m_models, {}, &replica_model::model);
@@ -60,7 +61,6 @@
     struct engine_state
     {
         std::vector<bool> holds; ///< by model
-        std::vector<bool> isNew; ///< placed by this plan: stays
         double freeMegabytes = 0;
     };
 
@@ -75,7 +75,7 @@
     void readHeld()
     {
         for (const replica_engine &engine : m_engines) {
-            engine_state state{std::vector<bool>(m_models.size()), std::vector<bool>(m_models.size()), engine.megabytes};
+            engine_state state{std::vector<bool>(m_models.size()), engine.megabytes};
             m_slots = std::max<double>(m_slots, engine.slots);
             for (std::size_t model = 0; model < m_models.size(); ++model) {
                 if (engine.held.contains(m_models[model].model)) {
@@ -144,7 +144,7 @@
         if (state.freeMegabytes < m_models[model].megabytes) {
             for (std::size_t other = 0; other < m_models.size(); ++other) {
                 const bool fits = state.freeMegabytes + m_models[other].megabytes >= m_models[model].megabytes;
-                if (state.holds[other] && !state.isNew[other] && fits && (!offer.victim || lossOf(other) < offer.loss)) {
+                if (state.holds[other] && !m_grown[other] && fits && (!offer.victim || lossOf(other) < offer.loss)) {
                     offer.victim = other;
                     offer.loss = lossOf(other);
                 }
@@ -182,7 +182,7 @@
             m_copies[*best->victim] -= 1;
         }
         state.holds[model] = true;
-        state.isNew[model] = true;
+        m_grown[model] = true;
         state.freeMegabytes -= m_models[model].megabytes;
         m_copies[model] += 1;
         m_loads.push_back({m_engines[best->engine].target, m_models[model].model});
@@ -218,6 +218,9 @@
     std::vector<replica_engine> m_engines; ///< sorted
     std::vector<replica_model> m_models; ///< sorted; indices are everybody's
     std::vector<double> m_copies; ///< wanted so far, by model
+    /// By model: it gets a copy by this plan, so it gives none away. Else a copy that is there would go for one
+    /// that is still to be loaded.
+    std::vector<bool> m_grown;
     std::vector<engine_state> m_states; ///< by engine
     std::vector<replica_load> m_loads;
     double m_slots = 1;
--- a/packages/gateway/lib/residency_keeper.cpp
+++ b/packages/gateway/lib/residency_keeper.cpp
@@ -250,9 +250,8 @@
     const double atOnce = std::max(1.0, traits.loadsPerSecond * loadSeconds);
     double underWay = 0;
     for (const auto &[id, at] : m_engines) {
-        // An unload makes room for a load.
-        underWay += at.loading || at.retiring ? 1 : 0;
-        underWay += at.sent && at.sent->adapter.empty() ? 1 : 0;
+        underWay += at.loading && at.loading->load ? 1 : 0;
+        underWay += at.sent && at.sent->load && at.sent->adapter.empty() ? 1 : 0;
     }
     return underWay + 1 <= atOnce;
 }
