--- a/packages/gateway/lib/replica_plan.cpp
+++ b/packages/gateway/lib/replica_plan.cpp
@@ -35,6 +35,7 @@
         , m_models(std::move(models))
         , m_copies(m_models.size(), 0)
         , m_grown(m_models.size(), false)
+        , m_shrunk(m_models.size(), false)
     {
         std::ranges::sort(m_engines, {}, &replica_engine::target);
         std::ranges::sort(m_models, {}, &replica_model::model);
@@ -112,6 +113,9 @@
     {
         std::optional<std::size_t> best;
         for (std::size_t model = 0; model < m_models.size(); ++model) {
+            if (m_shrunk[model]) {
+                continue;
+            }
             const bool worthIt = m_copies[model] == 0 || gainOf(model) >= leastGain;
             if (worthIt && !stuck.contains(model) && (!best || gainOf(model) > gainOf(*best))) {
                 best = model;
@@ -180,6 +184,7 @@
             state.holds[*best->victim] = false;
             state.freeMegabytes += m_models[*best->victim].megabytes;
             m_copies[*best->victim] -= 1;
+            m_shrunk[*best->victim] = true;
         }
         state.holds[model] = true;
         m_grown[model] = true;
@@ -218,9 +223,10 @@
     std::vector<replica_engine> m_engines; ///< sorted
     std::vector<replica_model> m_models; ///< sorted; indices are everybody's
     std::vector<double> m_copies; ///< wanted so far, by model
-    /// By model: it gets a copy by this plan, so it gives none away. Else a copy that is there would go for one
-    /// that is still to be loaded.
+    /// By model: it gets a copy by this plan, or gives one away, but never both. Else a copy that is there would
+    /// go for one that is still to be loaded.
     std::vector<bool> m_grown;
+    std::vector<bool> m_shrunk;
     std::vector<engine_state> m_states; ///< by engine
     std::vector<replica_load> m_loads;
     double m_slots = 1;
--- a/packages/gateway/unittests/replica_plan_test.cpp
+++ b/packages/gateway/unittests/replica_plan_test.cpp
@@ -6,6 +6,8 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <random>
+
 namespace fuchsialoom
 {
 
@@ -145,6 +147,29 @@
     EXPECT_EQ(plan.loads.front().target, world.engines[12].target);
 }
 
+/// Models gave a copy away first and got one elsewhere later in the same plan.
+TEST(replica_plan, aCopyThatIsThereStaysWhereItsModelGetsMore)
+{
+    for (unsigned seed = 1; seed <= 300; ++seed) {
+        std::mt19937 random(seed);
+        std::vector<double> streams;
+        for (std::size_t model = 0; model < 1 + seed % 40; ++model) {
+            streams.push_back(random() % 3 == 0 ? random() % 200 : 0);
+        }
+        replica_world world(1 + random() % 13, streams);
+        for (int round = 0; round < 3; ++round) {
+            const replica_plan plan = world.plan();
+            for (const replica_engine &engine : world.engines) {
+                for (const replica_load &load : plan.loads) {
+                    ASSERT_TRUE(!engine.held.contains(load.model) || plan.wanted.at(engine.target).contains(load.model)) << seed;
+                }
+            }
+            world.carryOut(plan);
+            world.models[random() % world.models.size()].streams = 150;
+        }
+    }
+}
+
 /// No engine holds more than fits, no model is lost where there is a place for each, and the plan is at rest
 /// once it was carried out.
 RC_GTEST_PROP(replica_plan, isSafeAndComesToRest, ())
