Links: a request that is given up is reset, so that it can't arrive later; losses and stories read from logs

Ruled out: the lease (the holder stopped at 35.08 s, by its log), the turn (its successor waited it out). Change: a connection that closes while its request is unanswered is reset. That holds for requests too: none can run after it was answered as failed. Test: red without. Also: `fuchsialoomctl losses FILE...` splits how requests ended by route and cause, `explain ID FILE...` tells one request's lines from logs; the `done` line has the objectives and the wait that they need.

--- a/packages/gateway/lib/exchange.cpp
+++ b/packages/gateway/lib/exchange.cpp
@@ -199,7 +199,10 @@
     line.with("target", m_attempt ? m_attempt->target.text() : std::string());
     line.with("status", std::to_string(m_attempt ? m_attempt->head.status : 0));
     line.with("took-ms", std::to_string(std::chrono::duration_cast<milliseconds>(now - m_arrivedAt).count()));
+    line.with("waited-ms", std::to_string(std::chrono::duration_cast<milliseconds>(m_waited).count()));
+    line.with("objective-ms", std::to_string(m_route.objective.count()));
     if (m_streamStarted) {
+        line.with("gap-objective-ms", std::to_string(m_route.gapObjective.count()));
         line.with("first-ms", std::to_string(std::chrono::duration_cast<milliseconds>(m_firstEventAt - m_arrivedAt).count()));
         line.with("events", std::to_string(m_scanner.count())).with("gap-ms", std::to_string(m_gapMs));
     }
--- a/packages/gateway/lib/exchange.h
+++ b/packages/gateway/lib/exchange.h
@@ -102,6 +102,7 @@
     bool m_isEngine = false;
     std::uint64_t m_configVersion = 0;
     instant m_arrivedAt;
+    microseconds m_waited{0}; ///< from the arrival to the first send
     waiting_bounds m_bounds{};
     bool m_late = false; ///< waits behind those that can still meet their objective
     attempt_history m_history;
--- a/packages/gateway/lib/exchange_attempts.cpp
+++ b/packages/gateway/lib/exchange_attempts.cpp
@@ -46,6 +46,9 @@
 {
     assert(!m_attempt);
     const instant now = loopNow();
+    if (m_attemptNumber == 0) {
+        m_waited = now - m_arrivedAt;
+    }
     m_owner.m_log.writeRequest(now,
                                log_line("sent", m_facts.id)
                                    .with("target", target.listed.id)
--- a/packages/http/lib/http_link.cpp
+++ b/packages/http/lib/http_link.cpp
@@ -231,6 +231,7 @@
 
 void http_link::close()
 {
+    const bool unanswered = m_busy && m_connected;
     m_closed = true;
     if (m_busy) {
         // One of the callbacks may be what closes the link, so they are destroyed after it has returned.
@@ -240,6 +241,11 @@
     m_busy = false;
     m_connectTimer.cancel();
     asio::error_code ignored; // the descriptor is gone either way
+    if (unanswered) {
+        // An orderly close leaves unacknowledged bytes to the kernel, which sends them again: once a cut of 5 s
+        // had healed, an order reached its engine 5 s after its sender had given it up, behind a newer holder's.
+        m_socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    }
     m_socket.close(ignored);
 }
 
--- a/packages/http/unittests/http_link_test.cpp
+++ b/packages/http/unittests/http_link_test.cpp
@@ -204,4 +204,28 @@
     EXPECT_FALSE(link->isReusable());
 }
 
+/// What a cut held back would reach the server after the cut has healed, long after its sender gave it up.
+TEST_F(http_link_test, aRequestThatIsGivenUpIsResetSoThatItCannotArriveLater)
+{
+    scripted_server server(m_loop, {{""}});
+    const auto link = linkTo(server);
+    link->send("GET / HTTP/1.1\r\nHost: h\r\n\r\n", false, loopNow() + milliseconds(500), {});
+    runFor(milliseconds(30));
+    ASSERT_FALSE(server.received().empty());
+    link->close();
+    runFor(milliseconds(30));
+    EXPECT_EQ(server.resetByPeer(), 1);
+}
+
+TEST_F(http_link_test, anIdleConnectionIsClosedInOrder)
+{
+    scripted_server server(m_loop, {{"HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 0\r\n\r\n"}});
+    const auto link = linkTo(server);
+    ASSERT_TRUE(ask(link).complete);
+    link->close();
+    runFor(milliseconds(30));
+    EXPECT_EQ(server.closedByPeer(), 1);
+    EXPECT_EQ(server.resetByPeer(), 0);
+}
+
 } // namespace fuchsialoom
--- a/packages/http/unittests/scripted_server.h
+++ b/packages/http/unittests/scripted_server.h
@@ -48,6 +48,11 @@
     {
         return m_closedByPeer;
     }
+    /// Of those: without an orderly end.
+    int resetByPeer() const
+    {
+        return m_resetByPeer;
+    }
     const std::string &received() const
     {
         return m_received;
@@ -81,6 +86,7 @@
         one->socket.async_read_some(asio::buffer(one->bytes), [this, one](const asio::error_code &problem, std::size_t size) {
             if (problem) {
                 m_closedByPeer += 1;
+                m_resetByPeer += problem == asio::error::connection_reset ? 1 : 0;
                 return;
             }
             m_received.append(one->bytes.data(), size);
@@ -117,6 +123,7 @@
     std::size_t m_next = 0;
     int m_connections = 0;
     int m_closedByPeer = 0;
+    int m_resetByPeer = 0;
     std::string m_received;
 };
 
--- a/tools/fuchsialoomctl/events.cpp
+++ b/tools/fuchsialoomctl/events.cpp
@@ -6,6 +6,7 @@
 #include "fuchsialoom/node/process_options.h"
 #include "fuchsialoom/support/errors.h"
 #include "fuchsialoom/support/event_story.h"
+#include "log_commands.h"
 
 #include <httplib.h>
 
@@ -90,7 +91,10 @@
 
 exit_code explain(const context &with, const words &arguments)
 {
-    requireWords(arguments, 1, 1, "explain ID");
+    if (arguments.size() > 1) {
+        return explainFromFiles(arguments.front(), words(arguments.begin() + 1, arguments.end()));
+    }
+    requireWords(arguments, 1, 1, "explain ID [FILE...]");
     const std::string &subject = arguments.front();
     const std::vector<timeline_event> events = askAll(with, "&subject=" + httplib::detail::encode_query_param(subject));
     if (events.empty()) {
--- a/tools/fuchsialoomctl/main.cpp
+++ b/tools/fuchsialoomctl/main.cpp
@@ -6,6 +6,7 @@
 #include "events.h"
 #include "fuchsialoom/node/process_options.h"
 #include "fuchsialoom/support/errors.h"
+#include "log_commands.h"
 #include "settings_commands.h"
 #include "status_command.h"
 
@@ -38,7 +39,8 @@
     command{"status", "status                   every VM named by --vm", showStatus},
     command{"claims", "claims --unknown [SCOPE] requests that may have run, to reconcile; SCOPE begins BRAND/SERVICE/KEY", showClaims},
     command{"timeline", "timeline [--since S]     the events of all VMs, of the last S seconds", showTimeline},
-    command{"explain", "explain ID               the story of one request, order, target or setting", explain},
+    command{"explain", "explain ID [FILE...]     the story of one request, order, target or setting; from logs where named", explain},
+    command{"losses", "losses FILE...           from logs: how requests ended, by route and cause", showLosses},
 };
 
 static po::options_description describeOptions()
