Adapters of busy models are fetched ahead; what nobody can order in time is refused at once

Change: adapters of models with 3 streams or more go ahead of requests where engines have places, those at the fewest engines first, one place kept free (residency_adapters.cpp, with what the keeper did for adapters before). VMs know when orders are given next (duty_sight); what would have to wait longer than its caller does is refused at once, with that time to come back. Tests: keeper property with busy models, a direct one, duty_sight.

--- a/packages/gateway/include/fuchsialoom/gateway/gateway.h
+++ b/packages/gateway/include/fuchsialoom/gateway/gateway.h
@@ -132,6 +132,12 @@
         m_onWantedAdapter = std::move(callback);
     }
 
+    /// Asked how long it takes until some VM orders what targets hold; 0 unless set.
+    void setTimeToOrders(std::function<milliseconds()> ask)
+    {
+        m_timeToOrders = std::move(ask);
+    }
+
     /// Called when a request was sent, so that peers hear of it before they choose for their next ones.
     void onFlights(std::function<void()> callback)
     {
@@ -158,10 +164,12 @@
 
     void enqueue(const std::shared_ptr<exchange> &one);
     void forget(exchange &one);
-    bool tryDispatch(exchange &one);
+    pool_verdict tryDispatch(exchange &one);
     /// What can't meet its objective any more goes behind what can.
     void demoteLate(instant now);
     void refuseUnreachable(instant now);
+    /// Requests in \p lanes, whose model or adapter no target holds, when nobody can order it in time.
+    void refuseUnheld(instant now, const std::set<lane_key> &lanes);
     void armQueueTimer();
     shared_budget &budgetOf(const service_id &service);
 
@@ -180,6 +188,7 @@
     std::map<model_id, model_demand> m_demand;
     std::function<void(const adapter_want &)> m_onWantedAdapter;
     std::function<void()> m_onFlights;
+    std::function<milliseconds()> m_timeToOrders;
     asio::steady_timer m_queueTimer;
     bool m_queueTimerArmed = false;
     bool m_refusesNew = false;
--- a/packages/gateway/include/fuchsialoom/gateway/peer_digest.h
+++ b/packages/gateway/include/fuchsialoom/gateway/peer_digest.h
@@ -47,6 +47,7 @@
     std::uint64_t configVersion = 0; ///< in force at the sender; 0: none
     bool leaving = false; ///< the sender drains
     std::optional<std::uint64_t> dutyFence; ///< set by the holder of the duty
+    milliseconds dutyWait{0}; ///< the holder orders only after this
     std::optional<renounced_fence> renounced; ///< set by a VM whose term as holder ended
     flight_counts flights;
     std::vector<demand_entry> demand;
--- a/packages/gateway/include/fuchsialoom/gateway/residency_duty.h
+++ b/packages/gateway/include/fuchsialoom/gateway/residency_duty.h
@@ -5,6 +5,7 @@
 
 #include "fuchsialoom/gateway/demand_view.h"
 #include "fuchsialoom/gateway/duty_lease.h"
+#include "fuchsialoom/gateway/duty_sight.h"
 #include "fuchsialoom/gateway/gateway.h"
 #include "fuchsialoom/gateway/residency_keeper.h"
 
@@ -46,7 +47,8 @@
     /// @{
     void onDemand(const vm_id &vm, const std::vector<demand_entry> &demand);
     void onWant(const adapter_want &want);
-    void onHolderHeard();
+    /// \p wait: it orders only after this.
+    void onHolderHeard(milliseconds wait);
     void onRenounced(const renounced_fence &word);
     /// @}
 
@@ -71,8 +73,8 @@
         return m_lease.renounced(clock());
     }
 
-    /// Whether some VM is known to give orders now, or will within moments.
-    bool isServed() const;
+    /// How long until some VM gives orders, as far as can be told; 0 when one does.
+    milliseconds timeToOrders() const;
 
     const residency_keeper &keeper() const
     {
@@ -101,7 +103,7 @@
     instant m_planAt{};
     std::map<model_id, double> m_unserved; ///< asked for and held nowhere: streams that its waiting counts as
     instant m_unservedAt{};
-    instant m_heardAt{}; ///< latest word of another VM that holds the duty, on the loop's clock
+    duty_sight m_sight; ///< of other holders; on the loop's clock
 };
 
 /// The placement wanted of \p service's engines by what is asked of their models. \p unserved: models that
--- a/packages/gateway/include/fuchsialoom/gateway/residency_keeper.h
+++ b/packages/gateway/include/fuchsialoom/gateway/residency_keeper.h
@@ -79,6 +79,7 @@
 {
     wanted_placement wanted;
     std::set<model_id> yielding; ///< models whose last copy may make way for now
+    std::set<model_id> busy; ///< models whose adapters are worth fetching ahead
 };
 
 /// What the weight store allows.
@@ -174,6 +175,11 @@
     void handOut(instant now, engine &at, residency_order order, residency_steps &steps);
     void serveWants(instant now, const target_pool &pool, residency_steps &steps);
     bool serveWant(instant now, const target_pool &pool, const adapter_want &want, residency_steps &steps);
+    void prefetchAdapters(instant now, const target_pool &pool, residency_steps &steps);
+    std::optional<adapter_key> rarestAdapter(const engine &at,
+                                             const engine_traits &traits,
+                                             const std::set<model_id> &busy,
+                                             const std::map<adapter_key, std::size_t> &copies) const;
     void followPlan(instant now, const target_pool &pool, residency_steps &steps);
     bool startLoad(instant now, const target_pool &pool, const wanted_load &load, residency_steps &steps);
     bool makeRoom(instant now, const target_pool &pool, engine &at, const target_id &id, residency_steps &steps);
@@ -200,6 +206,7 @@
     std::deque<instant> m_loadStarts; ///< of loads that may come from the weight store, oldest first
     std::vector<due_news> m_due;
     instant m_adaptersFrom{}; ///< no adapter is moved before
+    instant m_prefetchAt{}; ///< no adapter is fetched ahead before
     std::optional<instant> m_lastOrder;
     std::uint64_t m_orders = 0;
 };
--- a/packages/gateway/include/fuchsialoom/gateway/routes.h
+++ b/packages/gateway/include/fuchsialoom/gateway/routes.h
@@ -80,6 +80,9 @@
     friend bool operator==(const served_model &, const served_model &) = default;
 };
 
+/// The adapter of that number, from 1 on.
+adapter_id adapterAt(std::uint32_t number);
+
 /// What every engine of a service can hold and do.
 struct engine_traits
 {
--- a/packages/gateway/lib/exchange.h
+++ b/packages/gateway/lib/exchange.h
@@ -35,6 +35,11 @@
 
     /// Whether it can no longer meet its objective from the queue, and wasn't known to before.
     bool turnsLate(instant now);
+    /// Whether its caller would have left if it were sent at \p when, and nothing of it has run.
+    bool isHopeless(instant when) const
+    {
+        return when >= m_bounds.queueUntil && !m_streamStarted && !m_history.mayHaveRun;
+    }
     target_query query() const;
     const request_facts &facts() const
     {
--- a/packages/gateway/lib/gateway.cpp
+++ b/packages/gateway/lib/gateway.cpp
@@ -120,7 +120,7 @@
     pump();
 }
 
-bool gateway::tryDispatch(exchange &one)
+pool_verdict gateway::tryDispatch(exchange &one)
 {
     const target_query query = one.query();
     const target_choice choice = m_pool.choose(loopNow(), query, m_random());
@@ -132,12 +132,12 @@
         if (m_onFlights) {
             m_onFlights();
         }
-        return true;
+        return choice.verdict;
     }
     if (choice.verdict == pool_verdict::NotResident && !query.adapter.empty() && m_onWantedAdapter) {
         m_onWantedAdapter({query.service, query.model, query.adapter});
     }
-    return false;
+    return choice.verdict;
 }
 
 std::vector<demand_entry> gateway::demandSince(instant since) const
@@ -170,15 +170,21 @@
         m_pumpAgain = false;
         demoteLate(loopNow());
         std::set<lane_key> blocked;
+        std::set<lane_key> unheld;
         while (const queued_request *next = m_queue.next(blocked)) {
             const lane_key lane = next->lane;
             const std::shared_ptr<exchange> one = m_queued.at(next->id);
-            if (!tryDispatch(*one)) {
+            const pool_verdict verdict = tryDispatch(*one);
+            if (verdict != pool_verdict::Chosen) {
                 blocked.insert(lane);
             }
+            if (verdict == pool_verdict::NotResident) {
+                unheld.insert(lane);
+            }
         }
         m_queue.settle(loopNow());
         refuseUnreachable(loopNow());
+        refuseUnheld(loopNow(), unheld);
     } while (m_pumpAgain);
     m_pumping = false;
     armQueueTimer();
@@ -211,6 +217,23 @@
     }
 }
 
+void gateway::refuseUnheld(instant now, const std::set<lane_key> &lanes)
+{
+    const milliseconds wait = lanes.empty() || !m_timeToOrders ? milliseconds(0) : m_timeToOrders();
+    if (wait <= milliseconds(0)) {
+        return;
+    }
+    std::vector<std::shared_ptr<exchange>> hopeless;
+    for (const auto &[serial, one] : m_queued) {
+        if (one->isHopeless(now + wait) && lanes.contains(one->queueEntry().lane)) {
+            hopeless.push_back(one);
+        }
+    }
+    for (const std::shared_ptr<exchange> &one : hopeless) {
+        one->refuse(refusal::NotResident, wait);
+    }
+}
+
 void gateway::armQueueTimer()
 {
     if (m_queueTimerArmed || m_queue.size() == 0) {
--- a/packages/gateway/lib/peer_digest.cpp
+++ b/packages/gateway/lib/peer_digest.cpp
@@ -117,6 +117,7 @@
     if (!fence.is_null()) {
         digest.dutyFence = fence.get<std::uint64_t>();
     }
+    digest.dutyWait = milliseconds(next().get<std::int64_t>());
     const json &renounced = next();
     if (!renounced.is_null()) {
         digest.renounced = renounced_fence{renounced.at(0).get<std::uint64_t>(), milliseconds(renounced.at(1).get<std::int64_t>())};
@@ -159,6 +160,7 @@
                                digest.configVersion,
                                digest.leaving,
                                digest.dutyFence ? json(*digest.dutyFence) : json(),
+                               digest.dutyWait.count(),
                                encodeRenounced(digest.renounced),
                                encodeFlights(digest.flights),
                                listOf(digest.demand, encodeDemand),
--- a/packages/gateway/lib/residency_duty.cpp
+++ b/packages/gateway/lib/residency_duty.cpp
@@ -14,9 +14,6 @@
 static constexpr double waitingWeight = 0.3;
 /// Below this nobody asks for a model.
 static constexpr double leastAsked = 0.05;
-/// A holder that wasn't heard for so long may be gone: several of its digests.
-static constexpr milliseconds servedSilence{800};
-
 residency_duty::residency_duty(lease_options options, load_limits limits, gateway &requests, decision_log &log, duty_calls calls)
     : m_gateway(requests)
     , m_log(log)
@@ -213,9 +210,9 @@
     }
 }
 
-void residency_duty::onHolderHeard()
+void residency_duty::onHolderHeard(milliseconds wait)
 {
-    m_heardAt = loopNow();
+    m_sight.hear(loopNow(), wait);
     m_lease.onHolderHeard(clock());
 }
 
@@ -225,9 +222,11 @@
     pursueLease();
 }
 
-bool residency_duty::isServed() const
+milliseconds residency_duty::timeToOrders() const
 {
-    return m_mayOrder || loopNow() - m_heardAt < servedSilence;
+    const instant now = loopNow();
+    const auto toOwn = std::chrono::duration_cast<microseconds>(m_lease.orderFrom() - clock());
+    return m_sight.timeToOrders(now, fence() ? std::optional(now + toOwn) : std::nullopt);
 }
 
 void residency_duty::onLeaseRead(std::uint64_t end, const std::optional<lease_record> &newest, std::uint64_t offset)
--- a/packages/gateway/lib/residency_keeper.cpp
+++ b/packages/gateway/lib/residency_keeper.cpp
@@ -1,5 +1,6 @@
 /// \file
-/// What the keeper orders. What it learns is in residency_answers.cpp.
+/// What the keeper orders of models. Adapters are in residency_adapters.cpp, what it learns in
+/// residency_answers.cpp.
 #include "fuchsialoom/gateway/residency_keeper.h"
 
 #include "held_models.h"
@@ -13,13 +14,8 @@
 static constexpr milliseconds unloadSettle{120};
 /// Between two times that an unload under way is told.
 static constexpr milliseconds newsAgain{1000};
-/// A want is repeated by the VMs that have it, so it lapses soon.
-static constexpr milliseconds wantHold{600};
 /// What is left of a departure after the turn between two holders, 3 s on all deployments.
 static constexpr milliseconds afterTurn{2000};
-/// An adapter that was asked for so lately doesn't make way for another.
-static constexpr milliseconds adapterInUse{500};
-
 residency_keeper::residency_keeper(load_limits limits, decision_log &log)
     : m_limits(limits)
     , m_log(log)
@@ -41,21 +37,6 @@
     m_traits[service] = traits;
 }
 
-void residency_keeper::want(instant now, const adapter_want &want)
-{
-    m_wants[want] = now + wantHold;
-    used(now, want.model, want.adapter);
-}
-
-void residency_keeper::used(instant now, const model_id &model, const adapter_id &adapter, std::uint32_t running)
-{
-    adapter_use &use = m_used[{model, adapter}];
-    use.askedAt = now;
-    if (running > 0) {
-        use.runningAt = now;
-    }
-}
-
 void residency_keeper::setPlan(const service_id &service, residency_plan plan)
 {
     m_plans[service] = std::move(plan);
@@ -119,18 +100,6 @@
     return megabytes;
 }
 
-std::size_t residency_keeper::adaptersOf(const engine &at) const
-{
-    std::size_t count = at.departing.size();
-    for (const held_model &held : at.models) {
-        count += held.adapters.size();
-        for (const adapter_id &adapter : held.adapters) {
-            count -= at.departing.contains({held.model, adapter}) ? 1 : 0;
-        }
-    }
-    return count;
-}
-
 void residency_keeper::handOut(instant now, engine &at, residency_order order, residency_steps &steps)
 {
     order.expected = at.orderCount;
@@ -147,96 +116,6 @@
     steps.orders.push_back(std::move(order));
 }
 
-std::optional<residency_keeper::adapter_key> residency_keeper::leastUsed(instant now, const engine &at) const
-{
-    std::optional<adapter_key> least;
-    instant leastAt = farFuture;
-    for (const held_model &held : at.models) {
-        for (const adapter_id &adapter : held.adapters) {
-            const auto known = m_used.find({held.model, adapter});
-            const adapter_use use = known == m_used.end() ? adapter_use{} : known->second;
-            if (now - use.askedAt < adapterInUse || now - use.runningAt < adapterInUse) {
-                continue;
-            }
-            if (use.askedAt < leastAt) {
-                leastAt = use.askedAt;
-                least = adapter_key(held.model, adapter);
-            }
-        }
-    }
-    return least;
-}
-
-bool residency_keeper::serveWant(instant now, const target_pool &pool, const adapter_want &want, residency_steps &steps)
-{
-    const auto traits = m_traits.find(want.service);
-    if (traits == m_traits.end()) {
-        return true;
-    }
-    engine *best = nullptr;
-    target_id bestId;
-    double bestLoad = 0;
-    for (auto &[id, at] : m_engines) {
-        const pool_target *target = pool.find(id);
-        if (at.service != want.service || !target || target->listed.leaving || !at.known || !holdsModel(at.models, want.model)) {
-            continue;
-        }
-        if (findModel(at.models, want.model)->adapters.contains(want.adapter)) {
-            return true;
-        }
-        if (at.departing.contains({want.model, want.adapter})) {
-            continue;
-        }
-        if (at.sent || at.retiring || (at.loading && at.loading->model == want.model)) {
-            continue;
-        }
-        const bool full = adaptersOf(at) >= traits->second.adapterSlots;
-        // A free place is worth a third of an engine's load.
-        const double load = static_cast<double>(target->inFlight()) / target->listed.slots + (full ? 0.3 : 0);
-        if (!best || load < bestLoad) {
-            best = &at;
-            bestId = id;
-            bestLoad = load;
-        }
-    }
-    if (!best) {
-        return false;
-    }
-    const pool_target &target = *pool.find(bestId);
-    if (adaptersOf(*best) >= traits->second.adapterSlots) {
-        const std::optional<adapter_key> out = leastUsed(now, *best);
-        if (!out) {
-            return false;
-        }
-        steps.news.push_back({bestId, out->first, out->second, false});
-        handOut(now, *best, {bestId, target.listed.address, false, out->first, out->second, 0}, steps);
-        return false;
-    }
-    const served_model *model = traits->second.find(want.model);
-    if (!model || megabytesOf(*best, traits->second) + model->adapterMegabytes > traits->second.megabytes) {
-        return false;
-    }
-    handOut(now, *best, {bestId, target.listed.address, true, want.model, want.adapter, 0}, steps);
-    return true;
-}
-
-void residency_keeper::serveWants(instant now, const target_pool &pool, residency_steps &steps)
-{
-    std::erase_if(m_wants, [now](const auto &entry) {
-        return entry.second <= now;
-    });
-    if (now < m_adaptersFrom) {
-        return;
-    }
-    for (auto one = m_wants.begin(); one != m_wants.end();) {
-        if (serveWant(now, pool, one->first, steps)) {
-            one = m_wants.erase(one);
-        } else {
-            ++one;
-        }
-    }
-}
-
 bool residency_keeper::mayStartLoad(instant now, const engine_traits &traits, double loadSeconds)
 {
     while (!m_loadStarts.empty() && now - m_loadStarts.front() > m_limits.window) {
@@ -390,6 +269,7 @@
         }
     }
     serveWants(now, pool, steps);
+    prefetchAdapters(now, pool, steps);
     retire(now, pool, steps);
     followPlan(now, pool, steps);
     askReports(now, steps);
--- a/packages/gateway/lib/residency_plan.cpp
+++ b/packages/gateway/lib/residency_plan.cpp
@@ -19,6 +19,9 @@
 /// was 0.730 and 0.679, at 3 s 0.736 and 0.683 (three scores each).
 static constexpr double lookAhead = 3.0;
 
+/// Streams from which on a model's adapters are fetched ahead: below, one is asked for every few seconds.
+static constexpr double busyStreams = 3.0;
+
 /// Adapters move too often for a plan; room for all that an engine may hold is kept beside its weights.
 static double megabytesForWeights(const engine_traits &traits)
 {
@@ -104,7 +107,15 @@
     for (const served_model &model : traits.models) {
         models.push_back(modelOf(model, demand, unserved));
     }
-    return residencyOf(planReplicas(std::move(engines), std::move(models)), traits);
+    std::set<model_id> busy;
+    for (const replica_model &model : models) {
+        if (model.streams >= busyStreams) {
+            busy.insert(model.model);
+        }
+    }
+    residency_plan plan = residencyOf(planReplicas(std::move(engines), std::move(models)), traits);
+    plan.busy = std::move(busy);
+    return plan;
 }
 
 } // namespace fuchsialoom
--- a/packages/gateway/lib/routes.cpp
+++ b/packages/gateway/lib/routes.cpp
@@ -29,6 +29,13 @@
     return parsed.ptr == end && parsed.ec == std::errc() && number >= 1 && number <= model.adapters && name[1] != '0';
 }
 
+adapter_id adapterAt(std::uint32_t number)
+{
+    std::string name = std::to_string(number);
+    name.insert(name.begin(), 'a');
+    return adapter_id(std::move(name));
+}
+
 bool engine_traits::serves(const model_id &model, const adapter_id &adapter) const
 {
     const served_model *known = find(model);
--- /dev/null
+++ b/packages/gateway/unittests/duty_sight_test.cpp
@@ -0,0 +1,36 @@
+/// \file
+/// When orders are expected, by what was heard of the duty.
+#include "fuchsialoom/gateway/duty_sight.h"
+
+#include <gtest/gtest.h>
+
+namespace fuchsialoom
+{
+
+static constexpr instant start = instant(std::chrono::seconds(1000));
+
+TEST(duty_sight, aHolderThatIsHeardOrdersAfterItsWait)
+{
+    duty_sight sight;
+    sight.hear(start, milliseconds(0));
+    EXPECT_EQ(sight.timeToOrders(start + milliseconds(500), {}), milliseconds(0));
+    sight.hear(start, milliseconds(3000));
+    EXPECT_EQ(sight.timeToOrders(start + milliseconds(500), {}), milliseconds(2500));
+}
+
+TEST(duty_sight, aSilentHolderIsSucceededInSixSeconds)
+{
+    duty_sight sight;
+    sight.hear(start, milliseconds(0));
+    EXPECT_EQ(sight.timeToOrders(start + milliseconds(1000), {}), milliseconds(5200));
+    EXPECT_EQ(sight.timeToOrders(start + seconds(30), {}), milliseconds(1500));
+}
+
+TEST(duty_sight, anOwnTermGoesFirst)
+{
+    duty_sight sight;
+    EXPECT_EQ(sight.timeToOrders(start, start + milliseconds(700)), milliseconds(700));
+    EXPECT_EQ(sight.timeToOrders(start, start - seconds(5)), milliseconds(0));
+}
+
+} // namespace fuchsialoom
--- a/packages/gateway/unittests/peer_digest_test.cpp
+++ b/packages/gateway/unittests/peer_digest_test.cpp
@@ -19,6 +19,7 @@
     digest.configVersion = 12;
     digest.leaving = true;
     digest.dutyFence = 40;
+    digest.dutyWait = milliseconds(2400);
     digest.renounced = renounced_fence{39, milliseconds(1200)};
     digest.flights = {{target_id("e1"), {3, 800}}, {target_id("e2"), {1, 0}}};
     digest.demand = {{model_id("m"), {}, 100, 2, 3}, {model_id("m"), adapter_id("a1"), 0, 0, 1}};
--- a/packages/gateway/unittests/residency_keeper_test.cpp
+++ b/packages/gateway/unittests/residency_keeper_test.cpp
@@ -437,7 +437,8 @@
 
 /// Two minutes' worth of changing plans and wants before four engines.
 /// \return what went wrong, or nothing.
-static std::string troubleOf(double lost, double late, unsigned seed)
+/// \p busy: models whose adapters are fetched ahead.
+static std::string troubleOf(double lost, double late, unsigned seed, const std::set<model_id> &busy = {})
 {
     keeper_world world(seed, 4, lost, late);
     for (int model = 0; model < 6; ++model) {
@@ -450,7 +451,9 @@
             const int first = static_cast<int>(random() % 6);
             wanted[engine] = {first, (first + 1) % 6, (first + 2) % 6};
         }
-        world.keeper().setPlan(service, world.planOf(wanted));
+        residency_plan plan = world.planOf(wanted);
+        plan.busy = busy;
+        world.keeper().setPlan(service, plan);
         world.run(seconds(2), [&world, &random] {
             if (random() % 5 == 0) {
                 world.keeper().want(world.now(), wantOf(static_cast<int>(random() % 6), 1 + static_cast<int>(random() % 8)));
@@ -473,6 +476,38 @@
     RC_ASSERT(troubleOf(lost, late, *rc::gen::arbitrary<unsigned>()) == "");
 }
 
+RC_GTEST_PROP(residency_keeper, neverOvercommitsWhereAdaptersAreFetchedAhead, ())
+{
+    const double lost = *rc::gen::element(0.0, 0.3);
+    const double late = *rc::gen::element(0.0, 0.35);
+    const std::set<model_id> busy{keeper_world::modelAt(0), keeper_world::modelAt(3), keeper_world::modelAt(4)};
+    RC_ASSERT(troubleOf(lost, late, *rc::gen::arbitrary<unsigned>(), busy) == "");
+}
+
+/// Three engines of three places hold the first six of eight adapters of the busy model, two each, and keep a place
+/// for what a request may name; none of the other model's.
+TEST(residency_keeper, adaptersOfABusyModelAreThereBeforeTheyAreAskedFor)
+{
+    keeper_world world(7, 3, 0, 0);
+    for (int engine = 0; engine < 3; ++engine) {
+        world.engine(engine).held = {{keeper_world::modelAt(0), {}}, {keeper_world::modelAt(1), {}}};
+    }
+    world.run(milliseconds(300));
+    residency_plan plan = world.planOf({{0, {0, 1}}, {1, {0, 1}}, {2, {0, 1}}});
+    plan.busy = {keeper_world::modelAt(0)};
+    world.keeper().setPlan(service, plan);
+    world.run(seconds(2));
+    std::set<adapter_id> there;
+    for (int engine = 0; engine < 3; ++engine) {
+        const std::set<adapter_id> &held = world.engine(engine).held.at(keeper_world::modelAt(0));
+        EXPECT_EQ(held.size(), 2U);
+        there.insert(held.begin(), held.end());
+        EXPECT_TRUE(world.engine(engine).held.at(keeper_world::modelAt(1)).empty());
+    }
+    EXPECT_EQ(there.size(), 6U);
+    EXPECT_EQ(world.overloads(), 0);
+}
+
 /// A model that is being unloaded takes its adapters' places until it is gone.
 TEST(residency_keeper, seedOfAdaptersBesideAnUnload)
 {
