Duty: a VM that has heard no holder yet claims nothing of when orders come

A VM that has just started had heard no holder, took that for a holder long gone, and refused what it orders itself a second later. Change: without any word of a holder the time is not known, so requests wait. Test: red without.

--- a/packages/gateway/include/fuchsialoom/gateway/duty_sight.h
+++ b/packages/gateway/include/fuchsialoom/gateway/duty_sight.h
@@ -15,17 +15,21 @@
     /// A VM that holds the duty was heard; \p wait: it orders only after this.
     void hear(instant now, milliseconds wait)
     {
-        m_heardAt = now;
-        m_ordersFrom = now + wait;
+        m_latest = {now, now + wait};
     }
 
-    /// How long until some VM gives orders, as far as can be told; 0 when one does. \p own: from when this VM may
+    /// How long until some VM gives orders, as far as can be told; 0 when one does, or nothing is known yet. \p own: from when this VM may
     /// order, while it holds the duty itself.
     milliseconds timeToOrders(instant now, std::optional<instant> own) const;
 
 private:
-    instant m_heardAt{}; ///< latest word of another VM that holds the duty
-    instant m_ordersFrom{}; ///< by that word
+    struct word
+    {
+        instant heardAt;
+        instant ordersFrom;
+    };
+
+    std::optional<word> m_latest; ///< of another VM that holds the duty
 };
 
 } // namespace fuchsialoom
--- a/packages/gateway/lib/duty_sight.cpp
+++ b/packages/gateway/lib/duty_sight.cpp
@@ -17,11 +17,13 @@
 
 milliseconds duty_sight::timeToOrders(instant now, std::optional<instant> own) const
 {
-    instant expected = m_ordersFrom;
+    instant expected = now;
     if (own) {
         expected = *own;
-    } else if (now - m_heardAt >= servedSilence) {
-        expected = std::max(m_heardAt + takeover, now + leastTakeover);
+    } else if (m_latest && now - m_latest->heardAt < servedSilence) {
+        expected = m_latest->ordersFrom;
+    } else if (m_latest) {
+        expected = std::max(m_latest->heardAt + takeover, now + leastTakeover);
     }
     return std::max(milliseconds(0), std::chrono::duration_cast<milliseconds>(expected - now));
 }
--- a/packages/gateway/unittests/duty_sight_test.cpp
+++ b/packages/gateway/unittests/duty_sight_test.cpp
@@ -26,6 +26,12 @@
     EXPECT_EQ(sight.timeToOrders(start + seconds(30), {}), milliseconds(1500));
 }
 
+/// A VM that has just started takes the duty within a second or two where nobody holds it.
+TEST(duty_sight, nothingIsClaimedBeforeAnyHolderWasHeard)
+{
+    EXPECT_EQ(duty_sight().timeToOrders(start, {}), milliseconds(0));
+}
+
 TEST(duty_sight, anOwnTermGoesFirst)
 {
     duty_sight sight;
