--- a/packages/gateway/lib/exchange.cpp
+++ b/packages/gateway/lib/exchange.cpp
@@ -155,7 +155,8 @@
                                    .with("adapter", m_facts.adapter)
                                    .with("room", m_owner.m_pool.hasRoom(asked.service, asked.model) ? "yes" : "no")
                                    .with("queued", m_owner.m_queue.size())
-                                   .with("waited-ms", std::chrono::duration_cast<milliseconds>(now - m_arrivedAt)));
+                                   .with("waited-ms", std::chrono::duration_cast<milliseconds>(now - m_arrivedAt))
+                                   .with("retry-after-ms", retryAfter ? std::to_string(retryAfter->count()) : "none"));
     header_list headers;
     if (retryAfter) {
         m_owner.m_dialect.writeRetryAfter(headers, *retryAfter);
