--- a/packages/http/lib/http_link.cpp
+++ b/packages/http/lib/http_link.cpp
@@ -242,8 +242,8 @@
     m_connectTimer.cancel();
     asio::error_code ignored; // the descriptor is gone either way
     if (unanswered) {
-        // An orderly close leaves unacknowledged bytes to the kernel, which sends them again: once a cut of 5 s
-        // had healed, an order reached its engine 5 s after its sender had given it up, behind a newer holder's.
+        // An orderly close leaves unacknowledged bytes to the kernel, which sends them again once a cut heals: an
+        // order that its sender gave up long before could reach its engine behind a newer holder's.
         m_socket.set_option(asio::socket_base::linger(true, 0), ignored);
     }
     m_socket.close(ignored);
