--- a/packages/gateway/unittests/replica_plan_test.cpp
+++ b/packages/gateway/unittests/replica_plan_test.cpp
@@ -74,8 +74,8 @@
 
 } // namespace
 
-/// 34 models at 18 engines leave 20 places. By slots alone 58 streams are two engines' worth; spread over the
-/// places that are free anyway, a calm day's streams that paused too long fell from 7 in 100 to 2.
+/// 34 models at 18 engines leave 20 places. By slots alone 58 streams are two engines' worth, and those places stay
+/// empty while streams of the busy models pause for each other's prompts.
 TEST(replica_plan, freePlacesGoToBusyModelsByTheirDemand)
 {
     replica_world world(18, quiet(34, {58, 24, 17, 12}));
