Requests: a target that refused is avoided, so that the next request doesn't draw it again

Cause: of targets with equal scores a request draws one by hash; a target that refuses kept its score, so each request that drew it paid a retry, and four in a row spent the budget of three. Ruled out: the tie rule (spread differs by request, as meant); reports (a plain target sends none). Change: a refusal makes the target avoided as an unreachable one is: 2 s, or until a newer report.

--- a/packages/core/lib/request_attempts.cpp
+++ b/packages/core/lib/request_attempts.cpp
@@ -174,8 +174,9 @@
 void request_machine::endAttempt(open_request &open, attempt_end end)
 {
     open.lastEnd = end;
-    if (end == attempt_end::NotSent) {
-        // Or each request would pay a retry until the watchers find the target dead.
+    if (end == attempt_end::NotSent || end == attempt_end::Refused) {
+        // Or each request that draws the target at an equal score would pay a retry: until the watchers find it
+        // dead, or for as long as it refuses.
         m_targets.avoid(m_now, open.target);
     }
     switch (end) {
--- a/packages/core/unittests/request_machine_test.cpp
+++ b/packages/core/unittests/request_machine_test.cpp
@@ -412,3 +412,30 @@
     const auto other = only<start_attempt>(arrive(repeatableOf("other", 8))).front();
     EXPECT_EQ(other.target, second.target);
 }
+
+/// Requests that draw a refusing target at an equal score paid a retry each: the fourth found the budget spent.
+TEST_F(machine_case, aTargetThatRefusedIsDrawnOnceWhileAnotherIsThere)
+{
+    list("p1", target_kind::Plain);
+    list("p2", target_kind::Plain);
+    int refused = 0;
+    for (int number = 0; number < 24; ++number) {
+        const std::string id = "r" + std::to_string(number);
+        incoming_request request = requestOf(id.c_str());
+        request.kind = target_kind::Plain;
+        request.retryBudgetPercent = 10;
+        const auto first = only<start_attempt>(arrive(request));
+        ASSERT_EQ(first.size(), 1U) << id;
+        std::uint64_t attempt = 1;
+        if (first.front().target == target_id("p1")) {
+            refused += 1;
+            const auto second = only<start_attempt>(end(id.c_str(), attempt, attempt_end::Refused));
+            ASSERT_EQ(second.size(), 1U) << id;
+            EXPECT_EQ(second.front().target, target_id("p2"));
+            attempt = 2;
+        }
+        end(id.c_str(), attempt, attempt_end::Completed);
+        after(milliseconds(20));
+    }
+    EXPECT_EQ(refused, 1);
+}
