Stops: a VM that stops begins only what ends before it does, and answers what is left

Ruled out: the callers' idle connections (the closed requests had been read and passed to the queue); the grace itself. Change: drain_rules, under virtual time: what such requests took over the last 10 to 20 s, by route and allowed tokens, says whether one is over in time; else it is refused at once as not run, what waits included. What is left at the end is answered: 504 where it may have run, streams that have begun are broken off. Before: platform_test.aStopAnswersWhatItCannotFinish red on the old binary (status 0).

--- /dev/null
+++ b/packages/gateway/include/fuchsialoom/gateway/drain_rules.h
@@ -0,0 +1,59 @@
+/// \file
+/// Which requests a VM that is to stop may still begin: those that end before the VM does, by what such
+/// requests have taken of late. Pure.
+///
+/// A stream that is begun and can't end is cut off, and its caller has waited for nothing; another VM serves it
+/// whole if it is told so at once. With 3 s in which everything was begun, long streams and requests that waited
+/// for an engine were cut at the end of the stop: 8 of 40 days broke off one to three of them.
+#pragma once
+
+#include "fuchsialoom/support/time.h"
+
+#include <array>
+#include <cstdint>
+
+namespace fuchsialoom
+{
+
+/// One answered request.
+struct run_sample
+{
+    milliseconds first{0}; ///< from its send to its first event, or to its whole answer where it is no stream
+    milliseconds rest{0}; ///< from the first event to the end; 0 for what is no stream
+    std::uint64_t events = 0;
+    std::uint32_t outputTokens = 0; ///< the most that its caller allows; 0: not said
+};
+
+/// What the requests of one route took, over the last 10 to 20 s.
+class run_meter
+{
+public:
+    void note(instant now, const run_sample &sample);
+
+    /// From the send of a request that allows \p outputTokens to the end of its answer; on the long side.
+    /// \p otherwise: while no run is known.
+    milliseconds expected(instant now, std::uint32_t outputTokens, milliseconds otherwise) const;
+
+private:
+    struct window
+    {
+        instant from{};
+        std::uint32_t runs = 0;
+        milliseconds longestFirst{0};
+        milliseconds rest{0}; ///< sum
+        std::uint64_t events = 0; ///< sum
+        double eventsPerToken = 0; ///< the most
+    };
+
+    bool isFresh(instant now, const window &one) const;
+
+    std::array<window, 2> m_windows{}; ///< the present one and the one before it
+};
+
+/// Whether a request that is sent at \p now and runs for \p run is over by \p end.
+constexpr bool endsInTime(instant now, milliseconds run, instant end)
+{
+    return now + run <= end;
+}
+
+} // namespace fuchsialoom
--- a/packages/gateway/include/fuchsialoom/gateway/gateway.h
+++ b/packages/gateway/include/fuchsialoom/gateway/gateway.h
@@ -6,6 +6,7 @@
 
 #include "fuchsialoom/core/admission_queue.h"
 #include "fuchsialoom/gateway/decision_log.h"
+#include "fuchsialoom/gateway/drain_rules.h"
 #include "fuchsialoom/gateway/link_pool.h"
 #include "fuchsialoom/gateway/peer_digest.h"
 #include "fuchsialoom/gateway/request_facts.h"
@@ -115,6 +116,13 @@
         return m_pool;
     }
 
+    /// This VM stops, and ends at \p end: what isn't sure to be over by then is refused as not run, so that its
+    /// caller goes to another VM at once.
+    void stopBy(instant end);
+
+    /// Answers what is still open and hasn't begun to be answered; streams under way are broken off.
+    void endOpen();
+
     /// From now on every new request is refused: this VM stops, and others serve on.
     void refuseNew()
     {
@@ -168,6 +176,10 @@
     /// What can't meet its objective any more goes behind what can.
     void demoteLate(instant now);
     void refuseUnreachable(instant now);
+    /// What waits and would not be over before this VM ends.
+    void refuseUnfinishable(instant now);
+    /// Whether \p one, sent at \p now, is over before this VM ends.
+    bool endsBeforeStop(instant now, const exchange &one) const;
     /// Requests in \p lanes, whose model or adapter no target holds, when nobody can order it in time.
     void refuseUnheld(instant now, const std::set<lane_key> &lanes);
     void armQueueTimer();
@@ -184,6 +196,8 @@
     link_pool m_links;
     admission_queue m_queue;
     std::map<request_id, std::shared_ptr<exchange>> m_queued; ///< by the serial that the queue knows
+    std::map<request_id, std::weak_ptr<exchange>> m_openExchanges; ///< by serial; not answered yet
+    std::map<std::string, run_meter> m_runs; ///< by route
     std::map<service_id, shared_budget> m_budgets;
     std::map<model_id, model_demand> m_demand;
     std::function<void(const adapter_want &)> m_onWantedAdapter;
@@ -192,6 +206,7 @@
     asio::steady_timer m_queueTimer;
     bool m_queueTimerArmed = false;
     bool m_refusesNew = false;
+    instant m_stopEnd = farFuture; ///< of a stop under way
     bool m_pumping = false;
     bool m_pumpAgain = false;
     std::size_t m_liveVms = 1;
--- /dev/null
+++ b/packages/gateway/lib/drain_rules.cpp
@@ -0,0 +1,61 @@
+/// \file
+/// What requests take, for a VM that stops.
+#include "fuchsialoom/gateway/drain_rules.h"
+
+#include <algorithm>
+
+namespace fuchsialoom
+{
+
+/// A window's length: a VM sees several requests of each busy route in it.
+static constexpr seconds windowLength{10};
+/// Pauses between events are longer for some streams than on the mean; an engine that fills up slows all of them.
+static constexpr double pauseMargin = 1.5;
+
+bool run_meter::isFresh(instant now, const window &one) const
+{
+    return one.runs > 0 && now - one.from < 2 * windowLength;
+}
+
+void run_meter::note(instant now, const run_sample &sample)
+{
+    if (m_windows[0].runs == 0 || now - m_windows[0].from >= windowLength) {
+        m_windows[1] = m_windows[0];
+        m_windows[0] = window{now};
+    }
+    window &present = m_windows[0];
+    present.runs += 1;
+    present.longestFirst = std::max(present.longestFirst, sample.first);
+    present.rest += sample.rest;
+    present.events += sample.events;
+    if (sample.outputTokens > 0) {
+        present.eventsPerToken = std::max(present.eventsPerToken, static_cast<double>(sample.events) / sample.outputTokens);
+    }
+}
+
+milliseconds run_meter::expected(instant now, std::uint32_t outputTokens, milliseconds otherwise) const
+{
+    milliseconds first{0};
+    milliseconds rest{0};
+    std::uint64_t events = 0;
+    double eventsPerToken = 0;
+    bool known = false;
+    for (const window &one : m_windows) {
+        if (!isFresh(now, one)) {
+            continue;
+        }
+        known = true;
+        first = std::max(first, one.longestFirst);
+        rest += one.rest;
+        events += one.events;
+        eventsPerToken = std::max(eventsPerToken, one.eventsPerToken);
+    }
+    if (!known) {
+        return otherwise;
+    }
+    const double pause = events > 0 ? static_cast<double>(rest.count()) / static_cast<double>(events) : 0;
+    const double allowed = eventsPerToken * outputTokens;
+    return first + milliseconds(static_cast<std::int64_t>(pauseMargin * pause * allowed));
+}
+
+} // namespace fuchsialoom
--- a/packages/gateway/lib/exchange.cpp
+++ b/packages/gateway/lib/exchange.cpp
@@ -70,6 +70,7 @@
                                        .with("config", m_configVersion));
         m_owner.m_counters.refused += 1;
         m_done = true;
+        m_owner.m_openExchanges.erase(m_serial);
         m_caller->respond(404, {}, {});
         return;
     }
@@ -80,6 +81,10 @@
         refuse(refusal::UnknownModel, std::nullopt);
         return;
     }
+    if (!m_owner.endsBeforeStop(m_arrivedAt, *this)) {
+        refuse(refusal::Draining, milliseconds(0));
+        return;
+    }
     m_owner.enqueue(self);
     armTimer();
 }
@@ -178,6 +183,31 @@
     finish("failed", reason);
 }
 
+void exchange::endForStop()
+{
+    if (m_attempt) {
+        m_attempt->link->close();
+    }
+    if (!m_attempt && !m_history.mayHaveRun && !m_streamStarted) {
+        refuse(refusal::Draining, milliseconds(0));
+        return;
+    }
+    answerFailure(statusTimedOut, "stopping");
+}
+
+/// For what later requests of the route are expected to take.
+void exchange::noteRun()
+{
+    const instant now = loopNow();
+    run_sample sample;
+    const instant first = m_streamStarted ? m_firstEventAt : now;
+    sample.first = std::chrono::duration_cast<milliseconds>(first - m_attempt->sentAt);
+    sample.rest = std::chrono::duration_cast<milliseconds>(now - first);
+    sample.events = m_scanner.count();
+    sample.outputTokens = m_facts.mostOutputTokens;
+    m_owner.m_runs[m_route.name].note(now, sample);
+}
+
 void exchange::onCallerGone()
 {
     if (m_done) {
@@ -213,10 +243,14 @@
     m_owner.m_metrics.add(metric::Requests, {label_value(metric_label::Outcome, known)});
     if (result == "answered") {
         m_owner.m_counters.answered += 1;
+        if (m_attemptNumber == 1) {
+            noteRun();
+        }
     }
     m_done = true;
     m_timer.cancel();
     endAttempt();
+    m_owner.m_openExchanges.erase(m_serial);
     m_owner.forget(*this);
 }
 
--- a/packages/gateway/lib/exchange.h
+++ b/packages/gateway/lib/exchange.h
@@ -31,6 +31,9 @@
 
     void refuse(refusal why, std::optional<milliseconds> retryAfter);
 
+    /// This VM ends before the request could: it is told so, as not run where that is certain.
+    void endForStop();
+
     queued_request queueEntry() const;
 
     /// Whether it can no longer meet its objective from the queue, and wasn't known to before.
@@ -95,6 +98,7 @@
     void onTime();
     void onDeadline();
     instant silenceDeadline() const;
+    void noteRun();
     void finish(std::string_view result, std::string_view reason);
 
     gateway &m_owner;
--- a/packages/gateway/lib/gateway.cpp
+++ b/packages/gateway/lib/gateway.cpp
@@ -82,6 +82,7 @@
 void gateway::submit(const std::shared_ptr<caller_link> &caller, received_request request)
 {
     const auto one = std::make_shared<exchange>(*this, caller, std::move(request));
+    m_openExchanges.emplace(one->serial(), one);
     one->start();
 }
 
@@ -185,6 +186,7 @@
         m_queue.settle(loopNow());
         refuseUnreachable(loopNow());
         refuseUnheld(loopNow(), unheld);
+        refuseUnfinishable(loopNow());
     } while (m_pumpAgain);
     m_pumping = false;
     armQueueTimer();
@@ -234,6 +236,54 @@
     }
 }
 
+/// A run of which nothing is known may take so many objectives of its route.
+static constexpr int unknownRunObjectives = 4;
+
+bool gateway::endsBeforeStop(instant now, const exchange &one) const
+{
+    if (m_stopEnd == farFuture) {
+        return true;
+    }
+    const milliseconds unknown = unknownRunObjectives * one.m_route.objective;
+    const auto known = m_runs.find(one.m_route.name);
+    const milliseconds run = known == m_runs.end() ? unknown : known->second.expected(now, one.facts().mostOutputTokens, unknown);
+    return endsInTime(now, run, m_stopEnd);
+}
+
+void gateway::refuseUnfinishable(instant now)
+{
+    if (m_stopEnd == farFuture) {
+        return;
+    }
+    std::vector<std::shared_ptr<exchange>> unfinishable;
+    for (const auto &[serial, one] : m_queued) {
+        // A stream that has begun goes on for as long as this VM is there.
+        if (!one->m_streamStarted && !endsBeforeStop(now, *one)) {
+            unfinishable.push_back(one);
+        }
+    }
+    for (const std::shared_ptr<exchange> &one : unfinishable) {
+        one->endForStop();
+    }
+}
+
+void gateway::stopBy(instant end)
+{
+    m_stopEnd = end;
+    pump();
+}
+
+void gateway::endOpen()
+{
+    const auto open = m_openExchanges;
+    for (const auto &[serial, weak] : open) {
+        const std::shared_ptr<exchange> one = weak.lock();
+        if (one && !one->isDone()) {
+            one->endForStop();
+        }
+    }
+}
+
 void gateway::armQueueTimer()
 {
     if (m_queueTimerArmed || m_queue.size() == 0) {
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -272,6 +272,36 @@
     EXPECT_EQ(m_world.vm(m_vm).waitForExit(), 0);
 }
 
+/// What can't end before the process does is told so: what waits as not run, what may have run as unknown. Both were
+/// closed without an answer.
+TEST_F(platform_test, aStopAnswersWhatItCannotFinish)
+{
+    static constexpr int places = 8; // of the engine
+    startSmall();
+    setFault("e1", target_fault::Hang);
+    std::vector<asio::ip::tcp::socket> sockets;
+    for (int number = 0; number < places; ++number) {
+        sockets.push_back(m_world.send(m_vm, {.id = "hangs" + std::to_string(number), .deadlineMs = 30000}));
+    }
+    ASSERT_TRUE(waitFor([&] {
+        return runsOf("e1", "hangs" + std::to_string(places - 1)) == 1;
+    }));
+    asio::ip::tcp::socket waiting = m_world.send(m_vm, {.id = "waits", .deadlineMs = 30000});
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    m_world.vm(m_vm).send(SIGTERM);
+    const platform_answer refused = platform_world::receive(waiting);
+    EXPECT_EQ(refused.status, 503);
+    EXPECT_TRUE(refused.complete);
+    EXPECT_FALSE(refused.field("Retry-After").empty());
+    for (asio::ip::tcp::socket &socket : sockets) {
+        const platform_answer unknown = platform_world::receive(socket);
+        EXPECT_EQ(unknown.status, 504);
+        EXPECT_TRUE(unknown.complete);
+    }
+    EXPECT_EQ(runsOf("e1", "waits"), 0);
+    EXPECT_EQ(m_world.vm(m_vm).waitForExit(), 0);
+}
+
 TEST_F(platform_test, aConfigurationIsInForceThoughTheStoreWasAway)
 {
     startSmall();
