Targets: each start is a life of its own; what another process answers for is gone

Cause: a target may start again under its id, and then holds and knows nothing of before. The pool, the keeper, the digests and the links name targets by id, so all that was known of the former life would be taken for the new one's; its order count going back was taken for an old report and ignored. Ruled out: telling lives apart by order count (it starts at any number) or by address (kept as well). An answer that names another process displaces the target for 10 s.

--- a/packages/gateway/include/fuchsialoom/gateway/request_facts.h
+++ b/packages/gateway/include/fuchsialoom/gateway/request_facts.h
@@ -45,13 +45,15 @@
     bool notRun = false; ///< the target says that it didn't run the request, and won't
     bool signedByTarget = false;
     bool otherTarget = false; ///< another process has the address, or what was asked for isn't there
+    bool displaced = false; ///< another process has the address, by its own word
 };
 
 /// How an adapter reads and writes headers; all calls are pure.
 struct dialect_calls
 {
     request_facts (*readRequest)(const received_request &);
-    answer_facts (*readAnswer)(const answer_head &);
+    /// \p asked: the target that the request was for.
+    answer_facts (*readAnswer)(const answer_head &, const target_id &asked);
     /// Drops what a caller must not set, and adds what \p attempt says.
     void (*writeAttempt)(header_list &, const attempt_facts &attempt);
     /// Puts the time after which a refused caller may come back.
@@ -59,13 +61,13 @@
 };
 
 template<typename Dialect>
-concept request_dialect = requires(const received_request &request, const answer_head &answer, header_list &headers)
+concept request_dialect = requires(const received_request &request, const answer_head &answer, const target_id &target, header_list &headers)
 {
     {
         Dialect::readRequest(request)
         } -> std::same_as<request_facts>;
     {
-        Dialect::readAnswer(answer)
+        Dialect::readAnswer(answer, target)
         } -> std::same_as<answer_facts>;
     Dialect::writeAttempt(headers, attempt_facts());
     Dialect::writeRetryAfter(headers, milliseconds(0));
--- a/packages/gateway/include/fuchsialoom/gateway/target_pool.h
+++ b/packages/gateway/include/fuchsialoom/gateway/target_pool.h
@@ -24,7 +24,8 @@
     friend bool operator==(const held_model &, const held_model &) = default;
 };
 
-/// A target as the platform lists it. Each start of its process has an id of its own.
+/// A target as the platform lists it. Each start of its process has an id of its own, so whatever was said of one
+/// life of a target can't be taken for another.
 struct listed_upstream
 {
     target_id id;
@@ -76,6 +77,14 @@
     double trouble = 0; ///< share of late attempts that failed, decaying; 0 to 1
     instant troubleAt{}; ///< up to when `trouble` has decayed
     instant avoidUntil{}; ///< after a connection that couldn't be made, or silence
+    instant displacedUntil{}; ///< another process answered at its address: it is gone, whatever is still listed
+    bool displaced = false; ///< `displacedUntil` is ahead, as far as housekeeping has looked
+
+    /// Whether it may get requests and orders.
+    bool takesNew() const
+    {
+        return !listed.leaving && !displaced;
+    }
 
     std::uint32_t inFlight() const
     {
@@ -160,6 +169,8 @@
     void failed(instant now, const target_id &id);
     /// No connection, or no sign of life: avoided for a while.
     void avoid(instant now, const target_id &id, milliseconds length);
+    /// Another process answered at its address. \return whether that is news.
+    bool displace(instant now, const target_id &id);
     /// @}
 
     /// What this VM has in flight, for a whole digest.
--- a/packages/gateway/lib/exchange_attempts.cpp
+++ b/packages/gateway/lib/exchange_attempts.cpp
@@ -95,7 +95,7 @@
     };
     link_events events;
     events.isMine = [self](const answer_head &head) {
-        const answer_facts facts = self->m_owner.m_dialect.readAnswer(head);
+        const answer_facts facts = self->m_owner.m_dialect.readAnswer(head, self->m_attempt ? self->m_attempt->target : target_id());
         if (facts.answers.empty()) {
             return head.status < 200 || head.status >= 300;
         }
@@ -129,7 +129,7 @@
     m_attempt->headCame = true;
     m_attempt->lastByteAt = loopNow();
     m_attempt->head = head;
-    m_attempt->isSigned = m_owner.m_dialect.readAnswer(head).signedByTarget;
+    m_attempt->isSigned = m_owner.m_dialect.readAnswer(head, m_attempt->target).signedByTarget;
     m_attempt->passesEvents = isStream() && head.status == 200 && m_attempt->isSigned;
 }
 
@@ -181,7 +181,10 @@
 
 void exchange::onComplete()
 {
-    const answer_facts facts = m_owner.m_dialect.readAnswer(m_attempt->head);
+    const answer_facts facts = m_owner.m_dialect.readAnswer(m_attempt->head, m_attempt->target);
+    if (facts.displaced && m_owner.m_pool.displace(loopNow(), m_attempt->target)) {
+        m_owner.m_log.write(loopNow(), log_line("target-displaced").with("target", m_attempt->target).with("by", "answer"));
+    }
     const int status = m_attempt->head.status;
     const bool promises = status == 408 || status == 421 || status == 429 || status == 503;
     const bool good = status >= 200 && status < 300;
--- a/packages/gateway/lib/residency_adapters.cpp
+++ b/packages/gateway/lib/residency_adapters.cpp
@@ -77,7 +77,7 @@
     double bestLoad = 0;
     for (auto &[id, at] : m_engines) {
         const pool_target *target = pool.find(id);
-        if (at.service != want.service || !target || target->listed.leaving || !at.known || !holdsModel(at.models, want.model)) {
+        if (at.service != want.service || !target || !target->takesNew() || !at.known || !holdsModel(at.models, want.model)) {
             continue;
         }
         if (findModel(at.models, want.model)->adapters.contains(want.adapter)) {
@@ -157,7 +157,7 @@
     for (auto &[id, at] : m_engines) {
         const pool_target *target = pool.find(id);
         const auto plan = m_plans.find(at.service);
-        if (!target || target->listed.leaving || !at.known || at.sent || at.retiring || at.busy || plan == m_plans.end()) {
+        if (!target || !target->takesNew() || !at.known || at.sent || at.retiring || at.busy || plan == m_plans.end()) {
             continue;
         }
         const engine_traits &traits = m_traits.at(at.service);
--- a/packages/gateway/lib/residency_keeper.cpp
+++ b/packages/gateway/lib/residency_keeper.cpp
@@ -140,7 +140,7 @@
     std::size_t copies = 0;
     for (const auto &[id, at] : m_engines) {
         const pool_target *target = pool.find(id);
-        if (id == except || !target || target->listed.leaving || !at.known || !holdsModel(at.models, model)) {
+        if (id == except || !target || !target->takesNew() || !at.known || !holdsModel(at.models, model)) {
             continue;
         }
         const bool goes = (at.retiring && at.retiring->model == model) || (at.sent && !at.sent->load && at.sent->model == model)
@@ -180,7 +180,7 @@
 {
     const auto found = m_engines.find(load.target);
     const pool_target *target = pool.find(load.target);
-    if (found == m_engines.end() || !target || target->listed.leaving) {
+    if (found == m_engines.end() || !target || !target->takesNew()) {
         return false;
     }
     engine &at = found->second;
--- a/packages/gateway/lib/residency_plan.cpp
+++ b/packages/gateway/lib/residency_plan.cpp
@@ -98,7 +98,7 @@
 {
     std::vector<replica_engine> engines;
     for (const auto &[id, target] : pool.targets()) {
-        if (target.listed.service == service && target.listed.isEngine && !target.listed.leaving) {
+        if (target.listed.service == service && target.listed.isEngine && target.takesNew()) {
             engines.push_back(engineOf(target, traits, keeper));
         }
     }
--- a/packages/gateway/lib/target_pool.cpp
+++ b/packages/gateway/lib/target_pool.cpp
@@ -13,6 +13,10 @@
 static constexpr milliseconds newsHold{3000};
 /// A peer that is silent for so long counts as gone, with what it had in flight; several digests.
 static constexpr milliseconds peerSilence{2000};
+/// An entry of a target whose address another process has is of a process that ended, and lapses within three
+/// heartbeats of 1.2 s; some are written once more after that. Four such engines stood in the plan with the models that
+/// they had held, for 3 s and more.
+static constexpr milliseconds displacement{10000};
 /// Half of what a target failed is forgotten in so long: the shortest grey failure that the users name
 /// lasts 4 s, and a target that is well again shall get its part within a few seconds.
 static constexpr milliseconds troubleHalfLife{1500};
@@ -98,6 +102,9 @@
     const listed_upstream before = entry.listed;
     entry.listed = std::move(target);
     applyNews(now, entry);
+    if (before.address != entry.listed.address) {
+        entry.displaced = false;
+    }
     if (before.id.empty()) {
         m_lastArrival = now;
         countPeers();
@@ -152,8 +159,23 @@
     countPeers();
 }
 
+bool target_pool::displace(instant now, const target_id &id)
+{
+    const auto found = m_targets.find(id);
+    if (found == m_targets.end()) {
+        return false;
+    }
+    const bool isNews = !found->second.displaced;
+    found->second.displaced = true;
+    found->second.displacedUntil = now + displacement;
+    return isNews;
+}
+
 void target_pool::expirePeers(instant now)
 {
+    for (auto &[id, target] : m_targets) {
+        target.displaced = target.displaced && now < target.displacedUntil;
+    }
     const std::size_t gone = std::erase_if(m_peers, [now](const auto &peer) {
         return now - peer.second.heardAt > peerSilence;
     });
@@ -210,7 +232,7 @@
     bool listed = false;
     std::uint64_t state = draw;
     for (auto &[id, target] : m_targets) {
-        if (target.listed.service != query.service || target.listed.leaving || (query.tried && query.tried->contains(id))) {
+        if (target.listed.service != query.service || !target.takesNew() || (query.tried && query.tried->contains(id))) {
             continue;
         }
         listed = true;
@@ -245,7 +267,7 @@
 {
     return std::any_of(m_targets.begin(), m_targets.end(), [&](const auto &entry) {
         const pool_target &target = entry.second;
-        return target.listed.service == service && !target.listed.leaving && target.inFlight() < placesOf(target)
+        return target.listed.service == service && target.takesNew() && target.inFlight() < placesOf(target)
             && (model.empty() || !target.listed.isEngine || target.holds(model, {}));
     });
 }
