Loads: a successor leaves the store its window, and unanswered loads count until they are resolved

Two causes fit, both shown by tests that fail without the change: a successor began with an empty window, 3 s after its predecessor had used it up; a load whose answer was lost was counted in the window in which it was sent, and could begin in a later one. Change: after a takeover no load from the store for what is left of a window; unresolved loads count, and count again when they turn out to have been carried out.

--- a/packages/gateway/include/fuchsialoom/gateway/residency_keeper.h
+++ b/packages/gateway/include/fuchsialoom/gateway/residency_keeper.h
@@ -155,6 +155,8 @@
         std::map<adapter_key, instant> departing;
         std::optional<residency_order> sent; ///< handed out, without an answer yet
         std::optional<instant> resendAt; ///< its answer was lost: it is handed out again then
+        instant sentAt{}; ///< when `sent` was handed out first
+        bool sentUsesStore = false; ///< `sent` loads weights from the store
         std::optional<residency_order> loading; ///< accepted, its effect not yet reported
         instant loadingSince{};
         instant askAt{}; ///< the next report isn't asked for before
@@ -202,6 +204,7 @@
     std::map<adapter_key, adapter_use> m_used;
     std::map<service_id, residency_plan> m_plans;
     std::deque<instant> m_loadStarts; ///< of loads that may come from the weight store, oldest first
+    instant m_storeFrom{}; ///< no load from the weight store is ordered before
     std::vector<due_news> m_due;
     instant m_adaptersFrom{}; ///< no adapter is moved before
     instant m_prefetchAt{}; ///< no adapter is fetched ahead before
--- a/packages/gateway/lib/residency_answers.cpp
+++ b/packages/gateway/lib/residency_answers.cpp
@@ -12,6 +12,8 @@
 static constexpr milliseconds adapterSettle{25};
 /// A report shows what was up to so long ago, with a margin: engines tell their state of 200 ms before.
 static constexpr milliseconds reportLag{400};
+/// An order that is answered later than this may have been carried out only now.
+static constexpr milliseconds promptAnswer{300};
 /// After a report that didn't come.
 static constexpr milliseconds reportRetry{400};
 /// The first look at a load: the quickest take 0.4 s.
@@ -132,6 +134,9 @@
         return;
     }
     engine &at = found->second;
+    if (result != order_result::Unknown && at.sentUsesStore && now - at.sentAt > promptAnswer) {
+        m_loadStarts.push_back(now);
+    }
     switch (result) {
     case order_result::Unknown:
         at.resendAt = now + resendPause;
--- a/packages/gateway/lib/residency_keeper.cpp
+++ b/packages/gateway/lib/residency_keeper.cpp
@@ -16,6 +16,9 @@
 static constexpr milliseconds newsAgain{1000};
 /// What is left of a departure after the turn between two holders, 3 s on all deployments.
 static constexpr milliseconds afterTurn{2000};
+/// The least turn between two holders: loads that another VM ordered are at least so old when this one begins.
+static constexpr milliseconds leastTurn{3000};
+
 residency_keeper::residency_keeper(load_limits limits, decision_log &log)
     : m_limits(limits)
     , m_log(log)
@@ -26,6 +29,9 @@
 {
     // The other's last order is a turn ago already.
     m_adaptersFrom = now + afterTurn;
+    // It may have used up the store's rate right before its turn ended.
+    m_storeFrom = now + std::max(milliseconds(0), m_limits.window - leastTurn);
+    m_loadStarts.clear();
     m_engines.clear();
     m_wants.clear();
     m_plans.clear();
@@ -104,6 +110,8 @@
 {
     order.expected = at.report.orderCount;
     at.sent = order;
+    at.sentAt = now;
+    at.sentUsesStore = order.load && order.adapter.empty() && !at.report.atHand.contains(order.model);
     m_lastOrder = now;
     m_orders += 1;
     m_log.write(now,
@@ -122,7 +130,12 @@
         m_loadStarts.pop_front();
     }
     const double windowSeconds = std::chrono::duration<double>(m_limits.window).count();
-    if (static_cast<double>(m_loadStarts.size()) + 1 > traits.loadsPerSecond * windowSeconds * m_limits.excess) {
+    // Orders without an answer may be carried out at any moment yet, beyond the window in which they were sent.
+    const auto unresolved = std::ranges::count_if(m_engines, [now, this](const auto &entry) {
+        return entry.second.sent && entry.second.sentUsesStore && now - entry.second.sentAt > m_limits.window;
+    });
+    const auto starts = static_cast<double>(m_loadStarts.size()) + static_cast<double>(unresolved);
+    if (now < m_storeFrom || starts + 1 > traits.loadsPerSecond * windowSeconds * m_limits.excess) {
         return false;
     }
     // More at once than the store sends at full speed would slow all of them down.
--- a/packages/gateway/unittests/residency_keeper_test.cpp
+++ b/packages/gateway/unittests/residency_keeper_test.cpp
@@ -435,6 +435,63 @@
     EXPECT_GE(world.keeper().orders(), 5U);
 }
 
+/// A holder that used up the store's rate, and its successor a turn later, began 11 loads in 5 s where 10 are allowed.
+TEST(residency_keeper, aSuccessorLeavesTheStoreItsWindow)
+{
+    keeper_world world(4, 12, 0, 0);
+    world.run(milliseconds(300));
+    world.keeper().reset(world.now());
+    std::map<int, std::vector<int>> wanted;
+    for (int engine = 0; engine < 12; ++engine) {
+        wanted[engine] = {0, 1, 2};
+    }
+    world.keeper().setPlan(service, world.planOf(wanted));
+    world.run(milliseconds(1900));
+    EXPECT_EQ(world.keeper().orders(), 0U);
+    world.run(milliseconds(400));
+    EXPECT_GE(world.keeper().orders(), 5U);
+}
+
+/// Loads without an answer may begin seconds later, in another window than the one in which they were ordered.
+TEST(residency_keeper, unansweredLoadsCountUntilTheyAreResolved)
+{
+    decision_log log{STDERR_FILENO, "test"};
+    target_pool pool{domain_id("d")};
+    residency_keeper keeper({seconds(5), 1.0}, log);
+    engine_traits traits;
+    traits.megabytes = 220;
+    traits.loadsPerSecond = 1;
+    traits.models.push_back({model_id("m0"), 70, 9, 0, 0, 0, 0});
+    keeper.setTraits(service, traits);
+    instant now(seconds(1000));
+    residency_plan plan;
+    for (int engine = 0; engine < 12; ++engine) {
+        const target_id id("e" + std::to_string(10 + engine));
+        pool.list(now, {id, service, {"10.0.0.1", 80}, domain_id("d"), 8, false, true, {}});
+        plan.wanted.targets.push_back({id, {{model_id("m0"), version_id("newest"), 70}}, {}});
+        plan.wanted.loads.push_back({id, model_id("m0"), version_id("newest"), {}, 70, move_cause::Demand});
+    }
+    keeper.step(now, pool);
+    for (const auto &[id, target] : pool.targets()) {
+        keeper.onReport(now, id, {});
+    }
+    keeper.setPlan(service, plan);
+    const auto lose = [&] {
+        std::size_t orders = 0;
+        for (const residency_order &order : keeper.step(now, pool).orders) {
+            keeper.onOrdered(now, order, order_result::Unknown);
+            orders += 1;
+        }
+        return orders;
+    };
+    EXPECT_EQ(lose(), 5U) << "the store's rate over its window";
+    for (int step = 0; step < 60; ++step) {
+        now += milliseconds(200);
+        EXPECT_LE(lose(), 5U) << "the same ones again";
+    }
+    EXPECT_EQ(keeper.orders(), 5U);
+}
+
 /// Two minutes' worth of changing plans and wants before four engines.
 /// \return what went wrong, or nothing.
 /// \p busy: models whose adapters are fetched ahead.
