--- a/packages/gateway/include/fuchsialoom/gateway/gateway.h
+++ b/packages/gateway/include/fuchsialoom/gateway/gateway.h
@@ -13,7 +13,6 @@
 #include "fuchsialoom/gateway/retry_rules.h"
 #include "fuchsialoom/gateway/routes.h"
 #include "fuchsialoom/gateway/target_pool.h"
-#include "fuchsialoom/gateway/waiting_rules.h"
 #include "fuchsialoom/http/caller_link.h"
 #include "fuchsialoom/support/metrics.h"
 
@@ -199,7 +198,6 @@
     std::map<request_id, std::shared_ptr<exchange>> m_queued; ///< by the serial that the queue knows
     std::map<request_id, std::weak_ptr<exchange>> m_openExchanges; ///< by serial; not answered yet
     std::map<std::string, run_meter> m_runs; ///< by route
-    std::map<std::string, patience_meter> m_patience; ///< by route
     std::map<service_id, shared_budget> m_budgets;
     std::map<model_id, model_demand> m_demand;
     std::function<void(const adapter_want &)> m_onWantedAdapter;
--- a/packages/gateway/include/fuchsialoom/gateway/waiting_rules.h
+++ b/packages/gateway/include/fuchsialoom/gateway/waiting_rules.h
@@ -20,26 +20,8 @@
     instant queueUntil; ///< not sent by then, its caller leaves before the first event comes
 };
 
-/// For a request of \p of that came at \p arrivedAt from a caller who waits \p patience from then on, and who has
-/// waited \p waitedBefore for an earlier try of the same.
-waiting_bounds waitingBoundsOf(const route &of, instant arrivedAt, milliseconds patience, milliseconds waitedBefore = milliseconds(0));
-
-/// Tells callers of one route who come back from those who ask for the first time: most callers of a route wait equally
-/// long, and who comes back has that much less left. An objective counts from the first try, so who comes back after it
-/// can't be served on time any more; taken for new, such requests stood before others that could. Where callers of a
-/// route wait differently long, nothing is told.
-class patience_meter
-{
-public:
-    void note(milliseconds patience);
-
-    /// What a caller with \p patience left has waited before; 0 where that can't be told.
-    milliseconds waitedBefore(milliseconds patience) const;
-
-private:
-    milliseconds m_usual{0}; ///< the longest that was seen often
-    double m_share = 0; ///< of late callers, those that wait so long
-};
+/// For a request of \p of that came at \p arrivedAt from a caller who waits \p patience from then on.
+waiting_bounds waitingBoundsOf(const route &of, instant arrivedAt, milliseconds patience);
 
 /// Priority of a stream that broke midway and goes on at another target: before all that haven't begun.
 inline constexpr int continuedPriority = -1;
--- a/packages/gateway/lib/exchange.cpp
+++ b/packages/gateway/lib/exchange.cpp
@@ -104,10 +104,7 @@
     const auto traits = services.find(m_service);
     m_isEngine = traits != services.end() && traits->second.engine.has_value();
     const milliseconds patience = std::max(milliseconds(0), m_facts.patience.value_or(defaultPatience) - wayOfCaller);
-    patience_meter &usual = m_owner.m_patience[m_route.name];
-    usual.note(patience);
-    m_waitedBefore = usual.waitedBefore(patience);
-    m_bounds = waitingBoundsOf(m_route, m_arrivedAt, patience, m_waitedBefore);
+    m_bounds = waitingBoundsOf(m_route, m_arrivedAt, patience);
     m_history.repeatable = m_route.isRepeatable();
     m_history.attempts = std::max(1U, m_route.attempts);
 }
@@ -164,7 +161,6 @@
                                    .with("room", m_owner.m_pool.hasRoom(asked.service, asked.model) ? "yes" : "no")
                                    .with("queued", m_owner.m_queue.size())
                                    .with("waited-ms", std::chrono::duration_cast<milliseconds>(now - m_arrivedAt))
-                                   .with("waited-before-ms", m_waitedBefore)
                                    .with("retry-after-ms", retryAfter ? std::to_string(retryAfter->count()) : "none"));
     header_list headers;
     if (retryAfter) {
--- a/packages/gateway/lib/exchange.h
+++ b/packages/gateway/lib/exchange.h
@@ -113,7 +113,6 @@
     instant m_arrivedAt;
     microseconds m_waited{0}; ///< from the arrival to the first send
     waiting_bounds m_bounds{};
-    milliseconds m_waitedBefore{0}; ///< for an earlier try of the same, as far as can be told
     bool m_late = false; ///< waits behind those that can still meet their objective
     attempt_history m_history;
     std::set<target_id> m_tried;
--- a/packages/gateway/unittests/waiting_rules_test.cpp
+++ b/packages/gateway/unittests/waiting_rules_test.cpp
@@ -136,48 +136,4 @@
     EXPECT_GT(counts.onTime, 500);
 }
 
-TEST(waiting_rules, whoComesBackIsKnownByWhatIsLeft)
-{
-    patience_meter meter;
-    for (int caller = 0; caller < 60; ++caller) {
-        meter.note(milliseconds(5000 - caller % 5));
-        if (caller % 3 == 0) {
-            meter.note(milliseconds(3900));
-        }
-    }
-    EXPECT_EQ(meter.waitedBefore(milliseconds(4995)), milliseconds(0));
-    EXPECT_NEAR(static_cast<double>(meter.waitedBefore(milliseconds(3900)).count()), 1100, 10);
-    EXPECT_LE(waitingBoundsOf(chatRoute(), start, milliseconds(3900), milliseconds(1100)).objectiveUntil, start);
-}
-
-TEST(waiting_rules, nothingIsToldOfCallersWhoWaitDifferentlyLong)
-{
-    patience_meter meter;
-    for (int caller = 0; caller < 200; ++caller) {
-        meter.note(milliseconds(2000 + 40 * (caller * 7 % 100)));
-    }
-    EXPECT_EQ(meter.waitedBefore(milliseconds(2500)), milliseconds(0));
-}
-
-/// One caller who waits longer than all others doesn't make them late, and a patience that nobody has any more is
-/// forgotten.
-TEST(waiting_rules, theUsualPatienceFollowsTheCallers)
-{
-    patience_meter meter;
-    for (int caller = 0; caller < 60; ++caller) {
-        meter.note(milliseconds(5000));
-    }
-    meter.note(milliseconds(60000));
-    EXPECT_EQ(meter.waitedBefore(milliseconds(5000)), milliseconds(0));
-    for (int caller = 0; caller < 60; ++caller) {
-        meter.note(milliseconds(60000));
-    }
-    EXPECT_GT(meter.waitedBefore(milliseconds(5000)), milliseconds(0));
-    for (int caller = 0; caller < 400; ++caller) {
-        meter.note(milliseconds(5000));
-    }
-    EXPECT_EQ(meter.waitedBefore(milliseconds(5000)), milliseconds(0));
-    EXPECT_EQ(meter.waitedBefore(milliseconds(3900)), milliseconds(1100));
-}
-
 } // namespace fuchsialoom
