--- a/packages/gateway/include/fuchsialoom/gateway/request_facts.h
+++ b/packages/gateway/include/fuchsialoom/gateway/request_facts.h
@@ -61,7 +61,8 @@
 };
 
 template<typename Dialect>
-concept request_dialect = requires(const received_request &request, const answer_head &answer, const target_id &target, header_list &headers)
+concept request_dialect =
+    requires(const received_request &request, const answer_head &answer, const target_id &target, header_list &headers)
 {
     {
         Dialect::readRequest(request)
--- a/packages/gateway/include/fuchsialoom/gateway/target_pool.h
+++ b/packages/gateway/include/fuchsialoom/gateway/target_pool.h
@@ -151,7 +151,7 @@
     void noteAbsent(instant now, const target_id &id, const model_id &model, const adapter_id &adapter);
 
     /// \p vm's counts, in place of its earlier ones; they lapse when it stays silent.
-    void setPeerFlights(instant now, const vm_id &vm, flight_counts counts);
+    void setPeerFlights(instant now, const vm_id &vm, const flight_counts &counts);
     /// Those that changed, zeros among them.
     void changePeerFlights(instant now, const vm_id &vm, const flight_counts &changed);
     void expirePeers(instant now);
--- a/packages/gateway/lib/target_pool.cpp
+++ b/packages/gateway/lib/target_pool.cpp
@@ -150,7 +150,7 @@
     learn(now, {id, model, adapter, false});
 }
 
-void target_pool::setPeerFlights(instant now, const vm_id &vm, flight_counts counts)
+void target_pool::setPeerFlights(instant now, const vm_id &vm, const flight_counts &counts)
 {
     peer_flights &known = m_peers[vm];
     known = {{}, now};
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -280,6 +280,7 @@
     startSmall();
     setFault("e1", target_fault::Hang);
     std::vector<asio::ip::tcp::socket> sockets;
+    sockets.reserve(places);
     for (int number = 0; number < places; ++number) {
         sockets.push_back(m_world.send(m_vm, {.id = "hangs" + std::to_string(number), .deadlineMs = 30000}));
     }
