--- a/packages/gateway/include/fuchsialoom/gateway/gateway.h
+++ b/packages/gateway/include/fuchsialoom/gateway/gateway.h
@@ -178,6 +178,8 @@
     void refuseUnreachable(instant now);
     /// What waits and would not be over before this VM ends.
     void refuseUnfinishable(instant now);
+    /// What \p one would take, by the runs of its route of late; on the long side.
+    milliseconds expectedRun(instant now, const exchange &one) const;
     /// Whether \p one, sent at \p now, is over before this VM ends.
     bool endsBeforeStop(instant now, const exchange &one) const;
     /// Requests in \p lanes, whose model or adapter no target holds, when nobody can order it in time.
--- a/packages/gateway/lib/exchange.cpp
+++ b/packages/gateway/lib/exchange.cpp
@@ -152,16 +152,21 @@
     const instant now = loopNow();
     const target_query asked = query();
     m_owner.m_counters.refused += 1;
-    m_owner.m_log.writeRequest(now,
-                               log_line("refused", m_facts.id)
-                                   .with("reason", why)
-                                   .with("service", m_service)
-                                   .with("model", m_facts.model)
-                                   .with("adapter", m_facts.adapter)
-                                   .with("room", m_owner.m_pool.hasRoom(asked.service, asked.model) ? "yes" : "no")
-                                   .with("queued", m_owner.m_queue.size())
-                                   .with("waited-ms", std::chrono::duration_cast<milliseconds>(now - m_arrivedAt))
-                                   .with("retry-after-ms", retryAfter ? std::to_string(retryAfter->count()) : "none"));
+    log_line line = log_line("refused", m_facts.id)
+                        .with("reason", why)
+                        .with("service", m_service)
+                        .with("model", m_facts.model)
+                        .with("adapter", m_facts.adapter)
+                        .with("room", m_owner.m_pool.hasRoom(asked.service, asked.model) ? "yes" : "no")
+                        .with("queued", m_owner.m_queue.size())
+                        .with("waited-ms", std::chrono::duration_cast<milliseconds>(now - m_arrivedAt))
+                        .with("retry-after-ms", retryAfter ? std::to_string(retryAfter->count()) : "none");
+    if (why == refusal::Draining && m_owner.m_stopEnd != farFuture) {
+        const auto left = std::chrono::duration_cast<milliseconds>(m_owner.m_stopEnd - now);
+        line.with("run-ms", std::to_string(m_owner.expectedRun(now, *this).count()));
+        line.with("stop-in-ms", std::to_string(left.count()));
+    }
+    m_owner.m_log.writeRequest(now, line);
     header_list headers;
     if (retryAfter) {
         m_owner.m_dialect.writeRetryAfter(headers, *retryAfter);
--- a/packages/gateway/lib/gateway.cpp
+++ b/packages/gateway/lib/gateway.cpp
@@ -239,15 +239,16 @@
 /// A run of which nothing is known may take so many objectives of its route.
 static constexpr int unknownRunObjectives = 4;
 
-bool gateway::endsBeforeStop(instant now, const exchange &one) const
+milliseconds gateway::expectedRun(instant now, const exchange &one) const
 {
-    if (m_stopEnd == farFuture) {
-        return true;
-    }
     const milliseconds unknown = unknownRunObjectives * one.m_route.objective;
     const auto known = m_runs.find(one.m_route.name);
-    const milliseconds run = known == m_runs.end() ? unknown : known->second.expected(now, one.facts().mostOutputTokens, unknown);
-    return endsInTime(now, run, m_stopEnd);
+    return known == m_runs.end() ? unknown : known->second.expected(now, one.facts().mostOutputTokens, unknown);
+}
+
+bool gateway::endsBeforeStop(instant now, const exchange &one) const
+{
+    return m_stopEnd == farFuture || endsInTime(now, expectedRun(now, one), m_stopEnd);
 }
 
 void gateway::refuseUnfinishable(instant now)
