--- a/packages/gateway/include/fuchsialoom/gateway/drain_rules.h
+++ b/packages/gateway/include/fuchsialoom/gateway/drain_rules.h
@@ -4,7 +4,7 @@
 ///
 /// A stream that is begun and can't end is cut off, and its caller has waited for nothing; another VM serves it
 /// whole if it is told so at once. With 3 s in which everything was begun, long streams and requests that waited
-/// for an engine were cut at the end of the stop: 8 of 40 days broke off one to three of them.
+/// for an engine were cut at the end of the stop: 6 of 40 days broke off one to three of them.
 #pragma once
 
 #include "fuchsialoom/support/time.h"
