--- a/packages/gateway/include/fuchsialoom/gateway/gateway.h
+++ b/packages/gateway/include/fuchsialoom/gateway/gateway.h
@@ -182,6 +182,8 @@
     milliseconds expectedRun(instant now, const exchange &one) const;
     /// Whether \p one, sent at \p now, is over before this VM ends.
     bool endsBeforeStop(instant now, const exchange &one) const;
+    /// While this VM stops: what \p one would take, and the time left.
+    void addStopFacts(log_line &line, instant now, const exchange &one) const;
     /// Requests in \p lanes, whose model or adapter no target holds, when nobody can order it in time.
     void refuseUnheld(instant now, const std::set<lane_key> &lanes);
     void armQueueTimer();
--- a/packages/gateway/lib/exchange.cpp
+++ b/packages/gateway/lib/exchange.cpp
@@ -161,10 +161,8 @@
                         .with("queued", m_owner.m_queue.size())
                         .with("waited-ms", std::chrono::duration_cast<milliseconds>(now - m_arrivedAt))
                         .with("retry-after-ms", retryAfter ? std::to_string(retryAfter->count()) : "none");
-    if (why == refusal::Draining && m_owner.m_stopEnd != farFuture) {
-        const auto left = std::chrono::duration_cast<milliseconds>(m_owner.m_stopEnd - now);
-        line.with("run-ms", std::to_string(m_owner.expectedRun(now, *this).count()));
-        line.with("stop-in-ms", std::to_string(left.count()));
+    if (why == refusal::Draining) {
+        m_owner.addStopFacts(line, now, *this);
     }
     m_owner.m_log.writeRequest(now, line);
     header_list headers;
--- a/packages/gateway/lib/exchange_attempts.cpp
+++ b/packages/gateway/lib/exchange_attempts.cpp
@@ -49,14 +49,15 @@
     if (m_attemptNumber == 0) {
         m_waited = now - m_arrivedAt;
     }
-    m_owner.m_log.writeRequest(now,
-                               log_line("sent", m_facts.id)
-                                   .with("target", target.listed.id)
-                                   .with("in-flight", target.inFlight())
-                                   .with("slots", target.listed.slots)
-                                   .with("waited-ms", std::chrono::duration_cast<milliseconds>(now - m_arrivedAt))
-                                   .with("attempt", m_history.sentTo + 1)
-                                   .with("config", m_configVersion));
+    log_line line = log_line("sent", m_facts.id)
+                        .with("target", target.listed.id)
+                        .with("in-flight", target.inFlight())
+                        .with("slots", target.listed.slots)
+                        .with("waited-ms", std::chrono::duration_cast<milliseconds>(now - m_arrivedAt))
+                        .with("attempt", m_history.sentTo + 1)
+                        .with("config", m_configVersion);
+    m_owner.addStopFacts(line, now, *this);
+    m_owner.m_log.writeRequest(now, line);
     m_attempt = attempt();
     attempt &made = *m_attempt;
     made.target = target.listed.id;
--- a/packages/gateway/lib/gateway.cpp
+++ b/packages/gateway/lib/gateway.cpp
@@ -251,6 +251,16 @@
     return m_stopEnd == farFuture || endsInTime(now, expectedRun(now, one), m_stopEnd);
 }
 
+void gateway::addStopFacts(log_line &line, instant now, const exchange &one) const
+{
+    if (m_stopEnd == farFuture) {
+        return;
+    }
+    const auto left = std::chrono::duration_cast<milliseconds>(m_stopEnd - now);
+    line.with("run-ms", std::to_string(expectedRun(now, one).count()));
+    line.with("stop-in-ms", std::to_string(left.count()));
+}
+
 void gateway::refuseUnfinishable(instant now)
 {
     if (m_stopEnd == farFuture) {
