Red test: a VM that stops begins streams 3 s after its signal, and cuts them

Symptom, from the record: a request that was sent 3.001 s after SIGTERM was read, sent on to an engine, and its stream closed in the middle at 7.539 s. Hypotheses: (1) the refusal of new requests, due 3 s after the signal, comes late; (2) the signal is heard late, so that all of the stop is later than its caller and the platform think; (3) the request was taken for a shorter run than it was. The test needs no bench: 60 streams come whole, one each 250 us, from 3.001 s after the VM's own draining line on, and none may be begun.

--- /dev/null
+++ b/tests/platform_stop_test.cpp
@@ -0,0 +1,84 @@
+/// \file
+/// The end of a VM on the users' platform, from its callers' side: what is taken is answered whole, and what
+/// can't be is told so at once.
+#include "platform_world.h"
+
+#include <gtest/gtest.h>
+
+#include <csignal>
+#include <optional>
+#include <thread>
+#include <vector>
+
+namespace fuchsialoom
+{
+
+namespace
+{
+
+using steady_instant = std::chrono::steady_clock::time_point;
+
+/// The platform excuses a stream that is cut by the end of a stop only where it was sent so long after the signal.
+constexpr milliseconds excusedFor{3000};
+
+/// When \p vm heard that it is to stop, at the latest, by its own line: its monotonic clock is this machine's, cut to
+/// milliseconds.
+std::optional<steady_instant> heardStopAt(const child_process &vm)
+{
+    const std::string output = vm.output();
+    const std::size_t event = output.find("event=draining");
+    if (event == std::string::npos) {
+        return std::nullopt;
+    }
+    static constexpr std::string_view key = "mono=";
+    const std::size_t at = output.rfind(key, event);
+    return steady_instant(milliseconds(std::stoll(output.substr(at + key.size())) + 1));
+}
+
+} // namespace
+
+/// Callers saw the beginning of a stream and then a closed connection: their request had reached a VM 3.001 s after
+/// its stop signal, on a connection that was still open, was sent on to an engine at once and cut 4.5 s later by the
+/// end of the stop, though requests that come later than 3 s after the signal were to be refused.
+///
+/// Cause: not known yet; the refusal may come late, the signal may be heard late, or the run may be taken for shorter
+/// than it is.
+TEST(platform_stop, nothingIsBegunLongAfterTheSignal)
+{
+    platform_world world;
+    world.configure(1);
+    // Too long to be over by the end of the stop, though nothing tells the VM so.
+    world.addTarget({.id = "e1", .service = "models", .models = {"m1"}, .events = 100, .eventPause = milliseconds(75)});
+    const std::string vm = world.startVm();
+    ASSERT_TRUE(world.waitReady(vm));
+    world.vm(vm).send(SIGTERM);
+    std::optional<steady_instant> heardAt;
+    ASSERT_TRUE(waitFor([&] {
+        heardAt = heardStopAt(world.vm(vm));
+        return heardAt.has_value();
+    }));
+    // Early enough to be let in, late enough that the VM waits for their bodies.
+    std::this_thread::sleep_until(*heardAt + excusedFor / 2);
+    static constexpr int requests = 60;
+    std::vector<asio::ip::tcp::socket> sockets;
+    sockets.reserve(requests);
+    for (int number = 0; number < requests; ++number) {
+        sockets.push_back(world.sendHead(vm, {.id = "late" + std::to_string(number)}));
+    }
+    static constexpr microseconds between{250};
+    for (int number = 0; number < requests; ++number) {
+        std::this_thread::sleep_until(*heardAt + excusedFor + number * between);
+        platform_world::sendBody(sockets.at(static_cast<std::size_t>(number)));
+    }
+    for (asio::ip::tcp::socket &socket : sockets) {
+        const platform_answer answer = platform_world::receive(socket);
+        EXPECT_EQ(answer.status, 503);
+        EXPECT_TRUE(answer.complete);
+    }
+    EXPECT_TRUE(world.call([&] {
+        return world.target("e1").runs().empty();
+    }));
+    EXPECT_EQ(world.vm(vm).waitForExit(), 0);
+}
+
+} // namespace fuchsialoom
--- a/tests/platform_world.cpp
+++ b/tests/platform_world.cpp
@@ -15,6 +15,8 @@
 namespace fuchsialoom
 {
 
+static constexpr std::string_view requestBody = "hi";
+
 std::string platform_answer::field(const std::string &name) const
 {
     const std::size_t at = head.find("\r\n" + name + ": ");
@@ -149,7 +151,7 @@
     });
 }
 
-asio::ip::tcp::socket platform_world::send(const std::string &vm, const platform_request &request)
+asio::ip::tcp::socket platform_world::sendHead(const std::string &vm, const platform_request &request)
 {
     asio::ip::tcp::socket socket(m_callers);
     socket.connect(endpointOf(m_vms.at(vm).callers));
@@ -158,7 +160,19 @@
     if (!request.model.empty()) {
         head += "X-Model: " + request.model + "\r\n";
     }
-    asio::write(socket, asio::buffer(head + "Content-Length: 2\r\n\r\nhi"));
+    asio::write(socket, asio::buffer(head + "Content-Length: " + std::to_string(requestBody.size()) + "\r\n\r\n"));
+    return socket;
+}
+
+void platform_world::sendBody(asio::ip::tcp::socket &socket)
+{
+    asio::write(socket, asio::buffer(requestBody));
+}
+
+asio::ip::tcp::socket platform_world::send(const std::string &vm, const platform_request &request)
+{
+    asio::ip::tcp::socket socket = sendHead(vm, request);
+    sendBody(socket);
     return socket;
 }
 
--- a/tests/platform_world.h
+++ b/tests/platform_world.h
@@ -93,6 +93,12 @@
     /// An open connection to \p vm that has sent \p request.
     asio::ip::tcp::socket send(const std::string &vm, const platform_request &request);
 
+    /// The same in two steps: all but the body, and the body, with which the request is whole.
+    /// @{
+    asio::ip::tcp::socket sendHead(const std::string &vm, const platform_request &request);
+    static void sendBody(asio::ip::tcp::socket &socket);
+    /// @}
+
     /// Everything that comes on \p socket until it ends or the answer is whole.
     static platform_answer receive(asio::ip::tcp::socket &socket);
 
