Stops: a stream is expected to come at its model's present pace, with room to become slower

What callers saw: streams that began in the first seconds of a VM's stop and were cut at its end, with 100 events and more behind them. Cause: what a stream takes was told by those that ended in the last 10 to 20 s; in a burst the slow ones have not ended yet, and half of the mean pause as margin was less than engines lose while the stream runs. Change: streams under way tell their model's pace every eight events, over the last 1 to 2 s; the slower of it and of the ended ones counts, times 2.5 in place of 1.5. Why it holds, and how far: it remains an estimate.

--- a/packages/gateway/include/fuchsialoom/gateway/drain_rules.h
+++ b/packages/gateway/include/fuchsialoom/gateway/drain_rules.h
@@ -25,15 +25,38 @@
     std::uint32_t outputTokens = 0; ///< the most that its caller allows; 0: not said
 };
 
+/// The pace of the streams under way of one model, over the last 1 to 2 s. While a model's targets become slower, the
+/// slow streams have not ended yet, so those that ended say nothing of it.
+class pace_meter
+{
+public:
+    /// A stream made \p events events within \p span.
+    void note(instant now, milliseconds span, std::uint64_t events);
+
+    /// Milliseconds an event; 0 where none was noted of late.
+    double present(instant now) const;
+
+private:
+    struct window
+    {
+        instant from{};
+        milliseconds span{0}; ///< sum
+        std::uint64_t events = 0; ///< sum
+    };
+
+    std::array<window, 2> m_windows{}; ///< the present one and the one before it
+};
+
 /// What the requests of one route took, over the last 10 to 20 s.
 class run_meter
 {
 public:
     void note(instant now, const run_sample &sample);
 
-    /// From the send of a request that allows \p outputTokens to the end of its answer; on the long side.
+    /// From the send of a request that allows \p outputTokens to the end of its answer; on the long side. Its events
+    /// come at the pace of those that ended, or at \p presentPace (ms an event) where that is slower.
     /// \p otherwise: while no run is known.
-    milliseconds expected(instant now, std::uint32_t outputTokens, milliseconds otherwise) const;
+    milliseconds expected(instant now, std::uint32_t outputTokens, double presentPace, milliseconds otherwise) const;
 
 private:
     struct window
--- a/packages/gateway/lib/drain_rules.cpp
+++ b/packages/gateway/lib/drain_rules.cpp
@@ -9,8 +9,34 @@
 
 /// A window's length: a VM sees several requests of each busy route in it.
 static constexpr seconds windowLength{10};
-/// Pauses between events are longer for some streams than on the mean; an engine that fills up slows all of them.
-static constexpr double pauseMargin = 1.5;
+/// Of the pace of streams under way: several of them make events in it.
+static constexpr seconds paceLength{1};
+/// Pauses between events are longer for some streams than on the mean, and an engine that fills up or takes over what
+/// others lose goes on becoming slower while a stream runs.
+static constexpr double pauseMargin = 2.5;
+
+void pace_meter::note(instant now, milliseconds span, std::uint64_t events)
+{
+    if (m_windows[0].events == 0 || now - m_windows[0].from >= paceLength) {
+        m_windows[1] = m_windows[0];
+        m_windows[0] = window{now};
+    }
+    m_windows[0].span += span;
+    m_windows[0].events += events;
+}
+
+double pace_meter::present(instant now) const
+{
+    milliseconds span{0};
+    std::uint64_t events = 0;
+    for (const window &one : m_windows) {
+        if (one.events > 0 && now - one.from < 2 * paceLength) {
+            span += one.span;
+            events += one.events;
+        }
+    }
+    return events > 0 ? static_cast<double>(span.count()) / static_cast<double>(events) : 0;
+}
 
 bool run_meter::isFresh(instant now, const window &one) const
 {
@@ -33,7 +59,7 @@
     }
 }
 
-milliseconds run_meter::expected(instant now, std::uint32_t outputTokens, milliseconds otherwise) const
+milliseconds run_meter::expected(instant now, std::uint32_t outputTokens, double presentPace, milliseconds otherwise) const
 {
     milliseconds first{0};
     milliseconds rest{0};
@@ -53,7 +79,8 @@
     if (!known) {
         return otherwise;
     }
-    const double pause = events > 0 ? static_cast<double>(rest.count()) / static_cast<double>(events) : 0;
+    const double endedPace = events > 0 ? static_cast<double>(rest.count()) / static_cast<double>(events) : 0;
+    const double pause = std::max(endedPace, presentPace);
     const double allowed = eventsPerToken * outputTokens;
     return first + milliseconds(static_cast<std::int64_t>(pauseMargin * pause * allowed));
 }
--- a/packages/gateway/lib/exchange.h
+++ b/packages/gateway/lib/exchange.h
@@ -84,6 +84,7 @@
     link_events eventsOf(std::uint32_t number);
     void onHead(const answer_head &head);
     void notePromptRead();
+    void notePace(instant now);
     void onBody(std::string_view bytes);
     void onComplete();
     void onFailure(link_failure how, bool sent);
@@ -120,6 +121,8 @@
     std::uint32_t m_attemptNumber = 0; ///< events of an earlier attempt are told apart by it
     event_scanner m_scanner;
     instant m_firstEventAt{};
+    instant m_paceFrom{}; ///< since when events are counted for the next word of the stream's pace
+    std::uint64_t m_paceEvents = 0; ///< events before that
     std::uint64_t m_gapMs = 0; ///< longest pause between events
     asio::steady_timer m_timer;
     bool m_streamStarted = false; ///< the caller has the head of a stream
--- a/packages/gateway/lib/exchange_attempts.cpp
+++ b/packages/gateway/lib/exchange_attempts.cpp
@@ -15,6 +15,8 @@
 static constexpr milliseconds avoidRefusing{250};
 /// A caller whose request a target refused may come back at once: another target may have room.
 static constexpr milliseconds retryAfterRefusal{50};
+/// A stream tells its pace each time it has made so many events: a tenth of a stream and more.
+static constexpr std::uint64_t paceEvents = 8;
 static constexpr int statusFailed = 502;
 
 std::string exchange::requestBytes(const pool_target &target) const
@@ -83,6 +85,7 @@
         m_owner.m_metrics.add(metric::Resumes);
     }
     m_scanner.restart();
+    m_paceFrom = instant{};
     made.link->send(requestBytes(target), m_request.method == "HEAD", now + connectTime, eventsOf(m_attemptNumber));
     armTimer();
 }
@@ -154,6 +157,7 @@
     }
     m_attempt->lastByteAt = now;
     relay(events);
+    notePace(now);
 }
 
 void exchange::notePromptRead()
@@ -166,6 +170,20 @@
     m_owner.pump();
 }
 
+/// For what later streams of the model are expected to take, long before this one has ended.
+void exchange::notePace(instant now)
+{
+    const std::uint64_t made = m_scanner.count() - m_paceEvents;
+    if (m_paceFrom == instant{}) { // its first events at this target
+        m_paceFrom = now;
+        m_paceEvents = m_scanner.count();
+    } else if (made >= paceEvents) {
+        m_owner.m_paces[m_facts.model].note(now, std::chrono::duration_cast<milliseconds>(now - m_paceFrom), made);
+        m_paceFrom = now;
+        m_paceEvents = m_scanner.count();
+    }
+}
+
 /// The head goes with the first event: until then another target can still take the request.
 void exchange::relay(std::string_view events)
 {
--- a/packages/gateway/lib/gateway.cpp
+++ b/packages/gateway/lib/gateway.cpp
@@ -243,7 +243,12 @@
 {
     const milliseconds unknown = unknownRunObjectives * one.m_route.objective;
     const auto known = m_runs.find(one.m_route.name);
-    return known == m_runs.end() ? unknown : known->second.expected(now, one.facts().mostOutputTokens, unknown);
+    if (known == m_runs.end()) {
+        return unknown;
+    }
+    const auto pace = m_paces.find(one.facts().model);
+    const double present = pace == m_paces.end() ? 0 : pace->second.present(now);
+    return known->second.expected(now, one.facts().mostOutputTokens, present, unknown);
 }
 
 bool gateway::endsBeforeStop(instant now, const exchange &one) const
--- a/packages/gateway/unittests/drain_rules_test.cpp
+++ b/packages/gateway/unittests/drain_rules_test.cpp
@@ -15,7 +15,7 @@
 TEST(drain_rules, nothingIsKnownBeforeTheFirstRun)
 {
     const run_meter meter;
-    EXPECT_EQ(meter.expected(start, 100, milliseconds(3200)), milliseconds(3200));
+    EXPECT_EQ(meter.expected(start, 100, 0, milliseconds(3200)), milliseconds(3200));
 }
 
 TEST(drain_rules, aPlainRequestTakesAsLongAsTheLongestOfLate)
@@ -23,7 +23,7 @@
     run_meter meter;
     meter.note(start, {milliseconds(60), milliseconds(0), 0, 0});
     meter.note(start, {milliseconds(450), milliseconds(0), 0, 0});
-    EXPECT_EQ(meter.expected(start + seconds(3), 0, milliseconds(0)), milliseconds(450));
+    EXPECT_EQ(meter.expected(start + seconds(3), 0, 0, milliseconds(0)), milliseconds(450));
 }
 
 TEST(drain_rules, aStreamTakesWhatItsTokensTake)
@@ -32,8 +32,8 @@
     // Two tokens an event, an event each 30 ms.
     meter.note(start, {milliseconds(200), milliseconds(600), 20, 40});
     meter.note(start, {milliseconds(100), milliseconds(3000), 100, 200});
-    EXPECT_LT(meter.expected(start, 20, milliseconds(0)), milliseconds(1000));
-    EXPECT_GT(meter.expected(start, 478, milliseconds(0)), milliseconds(7000));
+    EXPECT_LT(meter.expected(start, 20, 0, milliseconds(0)), milliseconds(1000));
+    EXPECT_GT(meter.expected(start, 478, 0, milliseconds(0)), milliseconds(7000));
 }
 
 TEST(drain_rules, whatWasSeenLongAgoCountsNoMore)
@@ -41,9 +41,29 @@
     run_meter meter;
     meter.note(start, {milliseconds(5000), milliseconds(0), 0, 0});
     meter.note(start + seconds(11), {milliseconds(60), milliseconds(0), 0, 0});
-    EXPECT_EQ(meter.expected(start + seconds(12), 0, milliseconds(0)), milliseconds(5000));
-    EXPECT_EQ(meter.expected(start + seconds(21), 0, milliseconds(0)), milliseconds(60));
-    EXPECT_EQ(meter.expected(start + seconds(40), 0, milliseconds(7)), milliseconds(7));
+    EXPECT_EQ(meter.expected(start + seconds(12), 0, 0, milliseconds(0)), milliseconds(5000));
+    EXPECT_EQ(meter.expected(start + seconds(21), 0, 0, milliseconds(0)), milliseconds(60));
+    EXPECT_EQ(meter.expected(start + seconds(40), 0, 0, milliseconds(7)), milliseconds(7));
+}
+
+TEST(drain_rules, streamsUnderWayTellThatTargetsHaveBecomeSlower)
+{
+    run_meter meter;
+    // An event for each token, each 10 ms.
+    meter.note(start, {milliseconds(50), milliseconds(1000), 100, 100});
+    pace_meter pace;
+    pace.note(start + seconds(1), milliseconds(720), 8);
+    EXPECT_GE(meter.expected(start, 100, pace.present(start + seconds(1)), milliseconds(0)), milliseconds(9000));
+    // They count for a short time, and never make a run shorter than those that ended.
+    EXPECT_EQ(pace.present(start + seconds(3)), 0);
+    pace.note(start + seconds(4), milliseconds(8), 8);
+    EXPECT_GE(meter.expected(start, 100, pace.present(start + seconds(4)), milliseconds(0)), milliseconds(1000));
+}
+
+TEST(drain_rules, aPaceAloneTellsNoLength)
+{
+    const run_meter meter;
+    EXPECT_EQ(meter.expected(start, 100, 90, milliseconds(3200)), milliseconds(3200));
 }
 
 TEST(drain_rules, aVmThatDoesNotStopTakesEverything)
@@ -95,7 +115,7 @@
     for (int asked = 0; asked < 50; ++asked) {
         const instant now = start + milliseconds(between(0, static_cast<int>(grace.count())));
         const auto tokens = static_cast<std::uint32_t>(between(8, 480));
-        if (endsInTime(now, meter.expected(now, tokens, grace), end)) {
+        if (endsInTime(now, meter.expected(now, tokens, 0, grace), end)) {
             const run_sample run = runOf(tokens);
             RC_ASSERT(now + run.first + run.rest <= end);
         }
