Stops: a stream that names no tokens is expected to be as long as the longest

What callers could see: a stream whose request says nothing of its length was begun at nearly any time of a stop, since it was expected to take no longer than its first event takes, and cut at the end. Change: without a token count the longest of late counts. aStreamThatNamesNoTokensTakesAsLongAsTheLongest: 200 ms before, 4,200 ms after.

--- a/packages/gateway/include/fuchsialoom/gateway/drain_rules.h
+++ b/packages/gateway/include/fuchsialoom/gateway/drain_rules.h
@@ -54,7 +54,8 @@
     void note(instant now, const run_sample &sample);
 
     /// From the send of a request that allows \p outputTokens to the end of its answer; on the long side. Its events
-    /// come at the pace of those that ended, or at \p presentPace (ms an event) where that is slower.
+    /// come at the pace of those that ended, or at \p presentPace (ms an event) where that is slower. One that names no
+    /// tokens is as long as the longest.
     /// \p otherwise: while no run is known.
     milliseconds expected(instant now, std::uint32_t outputTokens, double presentPace, milliseconds otherwise) const;
 
@@ -64,6 +65,7 @@
         instant from{};
         std::uint32_t runs = 0;
         milliseconds longestFirst{0};
+        milliseconds longestRest{0};
         milliseconds rest{0}; ///< sum
         std::uint64_t events = 0; ///< sum
         double eventsPerToken = 0; ///< the most
--- a/packages/gateway/lib/drain_rules.cpp
+++ b/packages/gateway/lib/drain_rules.cpp
@@ -52,6 +52,7 @@
     window &present = m_windows[0];
     present.runs += 1;
     present.longestFirst = std::max(present.longestFirst, sample.first);
+    present.longestRest = std::max(present.longestRest, sample.rest);
     present.rest += sample.rest;
     present.events += sample.events;
     if (sample.outputTokens > 0) {
@@ -62,6 +63,7 @@
 milliseconds run_meter::expected(instant now, std::uint32_t outputTokens, double presentPace, milliseconds otherwise) const
 {
     milliseconds first{0};
+    milliseconds longestRest{0};
     milliseconds rest{0};
     std::uint64_t events = 0;
     double eventsPerToken = 0;
@@ -72,6 +74,7 @@
         }
         known = true;
         first = std::max(first, one.longestFirst);
+        longestRest = std::max(longestRest, one.longestRest);
         rest += one.rest;
         events += one.events;
         eventsPerToken = std::max(eventsPerToken, one.eventsPerToken);
@@ -79,6 +82,9 @@
     if (!known) {
         return otherwise;
     }
+    if (outputTokens == 0) {
+        return first + longestRest;
+    }
     const double endedPace = events > 0 ? static_cast<double>(rest.count()) / static_cast<double>(events) : 0;
     const double pause = std::max(endedPace, presentPace);
     const double allowed = eventsPerToken * outputTokens;
--- a/packages/gateway/unittests/drain_rules_test.cpp
+++ b/packages/gateway/unittests/drain_rules_test.cpp
@@ -60,6 +60,14 @@
     EXPECT_GE(meter.expected(start, 100, pace.present(start + seconds(4)), milliseconds(0)), milliseconds(1000));
 }
 
+TEST(drain_rules, aStreamThatNamesNoTokensTakesAsLongAsTheLongest)
+{
+    run_meter meter;
+    meter.note(start, {milliseconds(100), milliseconds(4000), 100, 0});
+    meter.note(start, {milliseconds(200), milliseconds(50), 2, 0});
+    EXPECT_EQ(meter.expected(start, 0, 0, milliseconds(0)), milliseconds(4200));
+}
+
 TEST(drain_rules, aPaceAloneTellsNoLength)
 {
     const run_meter meter;
