Stops: an expected run is bounded, so that no number of tokens overflows into a short one

What callers could see: a stream whose request allows a huge number of tokens, on a route with many events a token, was taken for one that ends at once, as its expected run in ms overflowed when it was added to an instant. Found by review, not seen. Change: 24 h at most, longer than any stop. anyNumberOfTokensIsTooLongAndNoOverflow: begun before, refused after.

--- a/packages/gateway/lib/drain_rules.cpp
+++ b/packages/gateway/lib/drain_rules.cpp
@@ -14,6 +14,8 @@
 /// Pauses between events are longer for some streams than on the mean, and an engine that fills up or takes over what
 /// others lose goes on becoming slower while a stream runs.
 static constexpr double pauseMargin = 2.5;
+/// Longer than any stop; a caller may name any number of tokens.
+static constexpr milliseconds longestRun = std::chrono::hours(24);
 
 void pace_meter::note(instant now, milliseconds span, std::uint64_t events)
 {
@@ -88,7 +90,8 @@
     const double endedPace = events > 0 ? static_cast<double>(rest.count()) / static_cast<double>(events) : 0;
     const double pause = std::max(endedPace, presentPace);
     const double allowed = eventsPerToken * outputTokens;
-    return first + milliseconds(static_cast<std::int64_t>(pauseMargin * pause * allowed));
+    const double generated = std::min(pauseMargin * pause * allowed, static_cast<double>(longestRun.count()));
+    return first + milliseconds(static_cast<std::int64_t>(generated));
 }
 
 } // namespace fuchsialoom
--- a/packages/gateway/unittests/drain_rules_test.cpp
+++ b/packages/gateway/unittests/drain_rules_test.cpp
@@ -5,6 +5,7 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <limits>
 #include <random>
 
 namespace fuchsialoom
@@ -68,6 +69,14 @@
     EXPECT_EQ(meter.expected(start, 0, 0, milliseconds(0)), milliseconds(4200));
 }
 
+TEST(drain_rules, anyNumberOfTokensIsTooLongAndNoOverflow)
+{
+    run_meter meter;
+    meter.note(start, {milliseconds(100), milliseconds(60000), 1000000, 1});
+    const std::uint32_t tokens = std::numeric_limits<std::uint32_t>::max();
+    EXPECT_FALSE(endsInTime(start, meter.expected(start, tokens, 10000, milliseconds(0)), start + seconds(10)));
+}
+
 TEST(drain_rules, aPaceAloneTellsNoLength)
 {
     const run_meter meter;
