Stops: paces are kept of engines' models alone

What could go wrong: the table of paces is kept by model and never shrinks, and a caller of a service that is no engine may call anything a model, so the table could grow without bound. Found by review. Engines refuse names that the configuration lacks, so their table is as long as the configuration's. No test: it would look into a private table; gateway_tests and platform_stop.* pass.

--- a/packages/gateway/include/fuchsialoom/gateway/gateway.h
+++ b/packages/gateway/include/fuchsialoom/gateway/gateway.h
@@ -196,7 +196,7 @@
     std::map<request_id, std::shared_ptr<exchange>> m_queued; ///< by the serial that the queue knows
     std::map<request_id, std::weak_ptr<exchange>> m_openExchanges; ///< by serial; not answered yet
     std::map<std::string, run_meter> m_runs; ///< by route
-    std::map<model_id, pace_meter> m_paces;
+    std::map<model_id, pace_meter> m_paces; ///< of the models that engines serve
     std::map<service_id, shared_budget> m_budgets;
     std::map<model_id, model_demand> m_demand;
     std::function<void(const adapter_want &)> m_onWantedAdapter;
--- a/packages/gateway/lib/exchange_attempts.cpp
+++ b/packages/gateway/lib/exchange_attempts.cpp
@@ -170,18 +170,23 @@
     m_owner.pump();
 }
 
-/// For what later streams of the model are expected to take, long before this one has ended.
+/// For what later streams of the model are expected to take, long before this one has ended. Engines serve a bounded
+/// number of models; what callers of other services call one may be anything.
 void exchange::notePace(instant now)
 {
+    if (!m_isEngine) {
+        return;
+    }
     const std::uint64_t made = m_scanner.count() - m_paceEvents;
-    if (m_paceFrom == instant{}) { // its first events at this target
-        m_paceFrom = now;
-        m_paceEvents = m_scanner.count();
-    } else if (made >= paceEvents) {
+    const bool isFirst = m_paceFrom == instant{};
+    if (!isFirst && made < paceEvents) {
+        return;
+    }
+    if (!isFirst) {
         m_owner.m_paces[m_facts.model].note(now, std::chrono::duration_cast<milliseconds>(now - m_paceFrom), made);
-        m_paceFrom = now;
-        m_paceEvents = m_scanner.count();
     }
+    m_paceFrom = now;
+    m_paceEvents = m_scanner.count();
 }
 
 /// The head goes with the first event: until then another target can still take the request.
