Logs: a request that comes too late has no expected run; comments of a stop

run-ms said 0 for what is refused before its route is looked up, as though it were expected to take no time.

--- a/packages/gateway/include/fuchsialoom/gateway/drain_rules.h
+++ b/packages/gateway/include/fuchsialoom/gateway/drain_rules.h
@@ -87,6 +87,7 @@
     {
         return end != farFuture;
     }
+    /// Also true while no stop is under way.
     bool takesNew(instant now) const
     {
         return now < newUntil;
--- a/packages/gateway/lib/gateway.cpp
+++ b/packages/gateway/lib/gateway.cpp
@@ -256,13 +256,16 @@
     return !m_stop.isStopping() || endsInTime(now, expectedRun(now, one), m_stop.end);
 }
 
+/// One that came too late was refused before its route was looked up: nothing is expected of it.
 void gateway::addStopFacts(log_line &line, instant now, const exchange &one) const
 {
     if (!m_stop.isStopping()) {
         return;
     }
     const auto left = std::chrono::duration_cast<milliseconds>(m_stop.end - now);
-    line.with("run-ms", std::to_string(expectedRun(now, one).count()));
+    if (!one.m_route.name.empty()) {
+        line.with("run-ms", std::to_string(expectedRun(now, one).count()));
+    }
     line.with("stop-in-ms", std::to_string(left.count()));
 }
 
