Red tests: a VM that stops sends what waited, or was refused elsewhere, past the time at which it could end

Symptom: requests that wait in the queue of a VM that stops, and those that a target has just refused as not run, are sent to a target although they are not expected to end before the VM does, and are cut at its end. Their callers could have been told at once that nothing has run. `refuseUnfinishable` looks at the queue each 25 ms, and behind the sending in the same turn; whatever finds a free place in that turn is sent uncompared. The tests: a gateway between a caller and a target on loopback. One request waits while the event loop stands still until 1.8 s are left for a run of 2 s, then a target is listed; another is refused as not run with 1 s left while a second target has room.

--- /dev/null
+++ b/packages/gateway/unittests/gateway_test.cpp
@@ -0,0 +1,243 @@
+/// \file
+/// The request path of one VM between a caller and a target on loopback: what may still be sent is decided by the
+/// instant of the send. Time passes here while the event loop stands still, as on a VM that has no share of its core.
+#include "fuchsialoom/gateway/gateway.h"
+
+#include <gtest/gtest.h>
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <array>
+#include <memory>
+#include <string>
+#include <thread>
+#include <utility>
+#include <vector>
+
+namespace fuchsialoom
+{
+
+namespace
+{
+
+/// A request and its answer name each other in X-Id; X-Not-Run is a target's word that it ran nothing.
+struct plain_dialect
+{
+    static request_facts readRequest(const received_request &request)
+    {
+        const std::string *id = request.headers.find("X-Id");
+        request_facts facts;
+        facts.id = request_id(id ? *id : std::string());
+        return facts;
+    }
+    static answer_facts readAnswer(const answer_head &head, const target_id &)
+    {
+        const std::string *id = head.headers.find("X-Id");
+        answer_facts facts;
+        facts.answers = request_id(id ? *id : std::string());
+        facts.notRun = head.headers.find("X-Not-Run") != nullptr;
+        facts.signedByTarget = true;
+        return facts;
+    }
+    static void writeAttempt(header_list &, const attempt_facts &)
+    {
+    }
+    static void writeRetryAfter(header_list &headers, milliseconds after)
+    {
+        headers.add("X-Retry-After-Ms", std::to_string(after.count()));
+    }
+};
+
+constexpr const char *refusedAnswer = "HTTP/1.1 503 ";
+/// Longer than anything takes on loopback that is sent at all.
+constexpr milliseconds settled{150};
+
+class gateway_test : public testing::Test
+{
+protected:
+    gateway_test()
+        : m_null(::open("/dev/null", O_WRONLY | O_CLOEXEC))
+        , m_log(m_null, "vm")
+        , m_gateway(m_loop, optionsOfTest(), callsOf<plain_dialect>(), m_log, m_metrics)
+        , m_target(m_loop, {asio::ip::address_v4::loopback(), 0}, targetEvents())
+        , m_callers(m_loop, {asio::ip::address_v4::loopback(), 0}, callerEvents())
+        , m_caller(m_loop)
+    {
+        m_target.start(100);
+        m_callers.start(100);
+        m_caller.connect(m_callers.address());
+    }
+
+    ~gateway_test() override
+    {
+        // What is open holds on to the gateway until its caller has left.
+        asio::error_code ignored;
+        m_caller.close(ignored);
+        runUntil([this] {
+            return m_gateway.openRequests() == 0;
+        });
+        ::close(m_null);
+    }
+
+    static gateway_options optionsOfTest()
+    {
+        gateway_options options;
+        options.vm = vm_id("vm");
+        options.domain = domain_id("d");
+        options.retries = {1.0, milliseconds(10000), 100.0};
+        return options;
+    }
+
+    caller_events targetEvents()
+    {
+        caller_events made;
+        made.onRequest = [this](const std::shared_ptr<caller_link> &link, const received_request &) {
+            m_atTarget.push_back(link);
+        };
+        made.limits = [this]() -> const caller_limits & {
+            return m_gateway.limits();
+        };
+        return made;
+    }
+
+    caller_events callerEvents()
+    {
+        caller_events made;
+        made.onRequest = [this](const std::shared_ptr<caller_link> &link, received_request request) {
+            m_submitted += 1;
+            m_gateway.submit(link, std::move(request));
+        };
+        made.limits = [this]() -> const caller_limits & {
+            return m_gateway.limits();
+        };
+        return made;
+    }
+
+    /// One plain service behind one route.
+    void configure(milliseconds objective, milliseconds timeout)
+    {
+        route one;
+        one.name = "r";
+        one.host = "h";
+        one.prefix = "/";
+        one.kind = request_kind::NonIdempotent;
+        one.services = {{service_id("s"), 1}};
+        one.objective = objective;
+        one.timeout = timeout;
+        one.attempts = 2;
+        gateway_configuration configuration;
+        configuration.version = 1;
+        configuration.routes = {one};
+        configuration.services[service_id("s")] = {};
+        m_gateway.configure(std::move(configuration));
+    }
+
+    /// What the platform's list does once it shows a target.
+    void list(const std::string &id)
+    {
+        listed_upstream target;
+        target.id = target_id(id);
+        target.service = service_id("s");
+        target.address = {m_target.address().address().to_string(), m_target.address().port()};
+        target.domain = domain_id("d");
+        m_gateway.pool().list(loopNow(), target);
+        m_gateway.pump();
+    }
+
+    void runFor(milliseconds length)
+    {
+        m_loop.restart();
+        m_loop.run_for(length);
+    }
+
+    template<typename Condition>
+    void runUntil(Condition holds)
+    {
+        static constexpr int mostTurns = 1000;
+        for (int turn = 0; turn < mostTurns && !holds(); ++turn) {
+            m_loop.restart();
+            m_loop.run_one_for(milliseconds(10));
+        }
+    }
+
+    /// Returns once the gateway has the request.
+    void ask()
+    {
+        asio::write(m_caller, asio::buffer(std::string("POST /a HTTP/1.1\r\nHost: h\r\nX-Id: 1\r\nContent-Length: 0\r\n\r\n")));
+        runUntil([this] {
+            return m_submitted > 0;
+        });
+    }
+
+    static void passTime(milliseconds length)
+    {
+        std::this_thread::sleep_for(length);
+    }
+
+    /// What the caller has been told, once it has been told anything.
+    std::string answer()
+    {
+        std::string text;
+        m_caller.non_blocking(true);
+        runUntil([this, &text] {
+            std::array<char, 4096> bytes{};
+            asio::error_code problem;
+            const std::size_t size = m_caller.read_some(asio::buffer(bytes), problem);
+            text.append(bytes.data(), size);
+            return !text.empty() || (problem && problem != asio::error::would_block);
+        });
+        return text;
+    }
+
+    int m_null;
+    asio::io_context m_loop;
+    decision_log m_log;
+    metrics_registry m_metrics;
+    gateway m_gateway;
+    std::vector<std::shared_ptr<caller_link>> m_atTarget; ///< of the requests that came there
+    int m_submitted = 0;
+    caller_listener m_target;
+    caller_listener m_callers;
+    asio::ip::tcp::socket m_caller;
+};
+
+/// A run of which nothing is known is taken for four of these, 2 s.
+constexpr milliseconds objective{500};
+constexpr milliseconds longTimeout{30000};
+
+} // namespace
+
+TEST_F(gateway_test, whatWaitedTooLongToEndBeforeTheStopIsNotBegun)
+{
+    configure(objective, longTimeout);
+    ask();
+    m_gateway.stopBy(planStop(loopNow(), milliseconds(2500), milliseconds(2500)));
+    passTime(milliseconds(700));
+    list("t1");
+    runFor(settled);
+    ASSERT_EQ(m_atTarget.size(), 0U);
+    EXPECT_TRUE(answer().starts_with(refusedAnswer));
+}
+
+TEST_F(gateway_test, aRefusedRequestThatNoLongerEndsBeforeTheStopIsNotBegunElsewhere)
+{
+    configure(objective, longTimeout);
+    list("t1");
+    list("t2");
+    ask();
+    runUntil([this] {
+        return !m_atTarget.empty();
+    });
+    ASSERT_EQ(m_atTarget.size(), 1U);
+    m_gateway.stopBy(planStop(loopNow(), milliseconds(1000), milliseconds(1000)));
+    header_list headers;
+    headers.add("X-Id", "1");
+    headers.add("X-Not-Run", "1");
+    m_atTarget[0]->respond(503, std::move(headers), {});
+    runFor(settled);
+    ASSERT_EQ(m_atTarget.size(), 1U);
+    EXPECT_TRUE(answer().starts_with(refusedAnswer));
+}
+
+} // namespace fuchsialoom
