Gateway: whether a request ends before a stop is compared where it is sent

What callers saw: in a stop, a request that had waited, or that a target had refused as not run, was begun though it was not expected to end, and cut or given up at the VM's end in place of being told at once that nothing had run. Cause: the queue was looked over for such requests each 25 ms and behind the sending of the same turn, which compared nothing; a retry goes through that sending at once. Ruled out: the same look in front of the sending; requests are queued while it runs, and would be sent uncompared. Change: each request is compared right before its target is chosen. One that may have run is tried on as before: it can't be refused, so another try takes nothing from it. The look stays for those that find no place. Why it holds: nothing lies between the comparison and the sending but the choice of a target, in the same turn. What a request takes remains an estimate.

--- a/packages/gateway/include/fuchsialoom/gateway/gateway.h
+++ b/packages/gateway/include/fuchsialoom/gateway/gateway.h
@@ -170,12 +170,14 @@
     /// What can't meet its objective any more goes behind what can.
     void demoteLate(instant now);
     void refuseUnreachable(instant now);
-    /// What waits and would not be over before this VM ends.
+    /// What waits and would not be over before this VM ends. What finds a place is compared where it is sent.
     void refuseUnfinishable(instant now);
     /// What \p one would take, by the runs of its route of late; on the long side.
     milliseconds expectedRun(instant now, const exchange &one) const;
     /// Whether \p one, sent at \p now, is over before this VM ends.
     bool endsBeforeStop(instant now, const exchange &one) const;
+    /// Whether \p one is not to be begun any more, since this VM ends before it could.
+    bool isUnfinishable(instant now, const exchange &one) const;
     /// While this VM stops: what \p one would take, and the time left.
     void addStopFacts(log_line &line, instant now, const exchange &one) const;
     /// Requests in \p lanes, whose model or adapter no target holds, when nobody can order it in time.
--- a/packages/gateway/lib/gateway.cpp
+++ b/packages/gateway/lib/gateway.cpp
@@ -175,6 +175,11 @@
         while (const queued_request *next = m_queue.next(blocked)) {
             const lane_key lane = next->lane;
             const std::shared_ptr<exchange> one = m_queued.at(next->id);
+            // What may have run can't be refused any more, so its caller loses nothing by another try.
+            if (isUnfinishable(loopNow(), *one) && !one->m_history.mayHaveRun) {
+                one->endForStop();
+                continue;
+            }
             const pool_verdict verdict = tryDispatch(*one);
             if (verdict != pool_verdict::Chosen) {
                 blocked.insert(lane);
@@ -256,6 +261,12 @@
     return !m_stop.isStopping() || endsInTime(now, expectedRun(now, one), m_stop.end);
 }
 
+/// A stream that has begun goes on for as long as this VM is there.
+bool gateway::isUnfinishable(instant now, const exchange &one) const
+{
+    return !one.m_streamStarted && !endsBeforeStop(now, one);
+}
+
 /// One that came too late was refused before its route was looked up: nothing is expected of it.
 void gateway::addStopFacts(log_line &line, instant now, const exchange &one) const
 {
@@ -276,8 +287,7 @@
     }
     std::vector<std::shared_ptr<exchange>> unfinishable;
     for (const auto &[serial, one] : m_queued) {
-        // A stream that has begun goes on for as long as this VM is there.
-        if (!one->m_streamStarted && !endsBeforeStop(now, *one)) {
+        if (isUnfinishable(now, *one)) {
             unfinishable.push_back(one);
         }
     }
