Red test: a request is sent once its time in the queue is over

Symptom: a request whose caller, or operator, waits no longer is sent to a target when a place frees in the turn in which its time is found over: it takes a place from one that is still waited for, and its outcome is unknown where it could have been refused as not run. Cause, from the code: the time is compared by `refuseUnreachable`, each 25 ms and behind the sending in the same turn, or by the request's own timer. The test: a request that may wait 0.3 s; the event loop stands still for 0.4 s, then a target is listed.

--- a/packages/gateway/unittests/gateway_test.cpp
+++ b/packages/gateway/unittests/gateway_test.cpp
@@ -240,4 +240,15 @@
     EXPECT_TRUE(answer().starts_with(refusedAnswer));
 }
 
+TEST_F(gateway_test, whatIsPastItsTimeInTheQueueIsNotSent)
+{
+    configure(objective, milliseconds(300));
+    ask();
+    passTime(milliseconds(400));
+    list("t1");
+    runFor(settled);
+    ASSERT_EQ(m_atTarget.size(), 0U);
+    EXPECT_TRUE(answer().starts_with(refusedAnswer));
+}
+
 } // namespace fuchsialoom
