Gateway: a request's time in the queue is compared where it is sent

What callers saw: a request was sent after its time in the queue was over, where it could have been refused as not run; it took the place of one that was still waited for. Cause: the time was compared by a look each 25 ms, behind the sending in the same turn, and by the request's own timer; a VM that had stood still sent first. Ruled out: a shorter look; it leaves the order of the turn as it is. Change: the deadline of the queue's entry is compared right before the target is chosen, also for retries; what follows is the same as at the look (`refuseLate`). Why it holds: nothing lies between the comparison and the sending but the choice of a target, in the same turn.

--- a/packages/gateway/include/fuchsialoom/gateway/gateway.h
+++ b/packages/gateway/include/fuchsialoom/gateway/gateway.h
@@ -170,6 +170,8 @@
     /// What can't meet its objective any more goes behind what can.
     void demoteLate(instant now);
     void refuseUnreachable(instant now);
+    /// \p one waits and can't start in time, or its time is over.
+    void refuseLate(instant now, exchange &one);
     /// What waits and would not be over before this VM ends. What finds a place is compared where it is sent.
     void refuseUnfinishable(instant now);
     /// What \p one would take, by the runs of its route of late; on the long side.
--- a/packages/gateway/lib/gateway.cpp
+++ b/packages/gateway/lib/gateway.cpp
@@ -175,8 +175,13 @@
         while (const queued_request *next = m_queue.next(blocked)) {
             const lane_key lane = next->lane;
             const std::shared_ptr<exchange> one = m_queued.at(next->id);
+            const instant now = loopNow();
+            if (next->deadline <= now) {
+                refuseLate(now, *one);
+                continue;
+            }
             // What may have run can't be refused any more, so its caller loses nothing by another try.
-            if (isUnfinishable(loopNow(), *one) && !one->m_history.mayHaveRun) {
+            if (isUnfinishable(now, *one) && !one->m_history.mayHaveRun) {
                 one->endForStop();
                 continue;
             }
@@ -211,17 +216,22 @@
 {
     for (const request_id &serial : m_queue.unreachable(now)) {
         const std::shared_ptr<exchange> one = m_queued.at(serial);
-        const milliseconds retryAfter = m_queue.retryAfter(now, one->queueEntry().lane);
         if (one->m_streamStarted && now < one->m_bounds.patience) {
             // Its caller has the beginning; the rest is worth the wait.
             continue;
         }
-        if (one->m_history.mayHaveRun) {
-            one->answerFailure(502, "queue-full");
-        } else {
-            one->refuse(now >= one->m_bounds.queueUntil ? refusal::TimedOut : refusal::QueueFull, retryAfter);
-        }
+        refuseLate(now, *one);
+    }
+}
+
+void gateway::refuseLate(instant now, exchange &one)
+{
+    if (one.m_history.mayHaveRun) {
+        one.answerFailure(502, "queue-full");
+        return;
     }
+    const milliseconds retryAfter = m_queue.retryAfter(now, one.queueEntry().lane);
+    one.refuse(now >= one.m_bounds.queueUntil ? refusal::TimedOut : refusal::QueueFull, retryAfter);
 }
 
 void gateway::refuseUnheld(instant now, const std::set<lane_key> &lanes)
