Red test: what waited for its connection is sent once the connection's time is over

Symptom: a process that stands still between the decision to send and the making of the connection writes what it had decided when it goes on, however late. For a request that is beyond its caller's time or the VM's stop; for an order of the duty beyond its lease and the turn of its successor, which counts on at most 250 ms for a connection. Holders that stood still for 7 s are on record. Cause, from the code: the deadline is a timer alone, and a turn of the event loop hands out what sockets have to tell before its timers. The test: the kernel makes the connection while the process stands still until 20 ms after the deadline.

--- a/packages/http/unittests/http_link_test.cpp
+++ b/packages/http/unittests/http_link_test.cpp
@@ -7,6 +7,8 @@
 
 #include <gtest/gtest.h>
 
+#include <thread>
+
 namespace fuchsialoom
 {
 
@@ -166,6 +168,29 @@
     EXPECT_FALSE(seen.sent);
 }
 
+TEST_F(http_link_test, aConnectionThatIsSeenTooLateSendsNothing)
+{
+    scripted_server server(m_loop, {{answer("1", "a")}});
+    const auto link = linkTo(server);
+    outcome_seen seen;
+    link_events events;
+    events.onComplete = [&seen] {
+        seen.complete = true;
+    };
+    events.onFailure = [&seen](link_failure how, bool sent) {
+        seen.failure = how;
+        seen.sent = sent;
+    };
+    const instant connectBy = loopNow() + milliseconds(20);
+    link->send("GET / HTTP/1.1\r\nHost: h\r\n\r\n", false, connectBy, std::move(events));
+    // The connection is made meanwhile, by the kernel: the process stands still until its time is over.
+    std::this_thread::sleep_until(std::chrono::steady_clock::time_point((connectBy + milliseconds(20)).time_since_epoch()));
+    runFor(milliseconds(100));
+    EXPECT_EQ(server.received(), "");
+    EXPECT_EQ(seen.failure, link_failure::ConnectTimeout);
+    EXPECT_FALSE(seen.sent);
+}
+
 TEST_F(http_link_test, anAnswerBeforeTheBodyIsReadEndsTheConnection)
 {
     scripted_server server(m_loop, {{answer("1", "early")}});
