Connections: what was to be sent by a deadline is not written once it is over

What callers saw: after a stall of its VM, requests were sent that had been decided before it; an order of the duty could reach its engine after the lease, and after a successor's first. Cause: the deadline of a connection under way was a timer alone. A turn of the event loop hands out what sockets tell before its timers, so a connection that the kernel had made meanwhile was written to first. Ruled out: orders on kept connections; they are written in the call in which the lease is compared. Change: the deadline is compared once the connection is made, right before the write; beyond it nothing is sent, which is told as a connection that timed out.

--- a/packages/http/include/fuchsialoom/http/http_link.h
+++ b/packages/http/include/fuchsialoom/http/http_link.h
@@ -112,6 +112,7 @@
     bool m_tainted = false; ///< bytes came that belong to no request: not to be used again
     int m_dropped = 0; ///< answers to others in this exchange
     int m_exchanges = 0;
+    instant m_connectBy = farFuture; ///< of the connection being made
     instant m_idleUntil = farFuture;
 };
 
--- a/packages/http/lib/http_link.cpp
+++ b/packages/http/lib/http_link.cpp
@@ -56,6 +56,7 @@
 void http_link::connect(instant connectBy)
 {
     const auto self = shared_from_this();
+    m_connectBy = connectBy;
     m_connectTimer.expires_at(onSteadyClock(connectBy));
     m_connectTimer.async_wait([self](const asio::error_code &problem) {
         if (!problem && !self->m_connected && !self->m_closed) {
@@ -77,6 +78,11 @@
         fail(link_failure::Refused);
         return;
     }
+    if (loopNow() >= m_connectBy) {
+        // The process stood still: its sockets are heard before its timers, and what it meant to send is out of date.
+        fail(link_failure::ConnectTimeout);
+        return;
+    }
     m_connected = true;
     asio::error_code ignored; // options only tune the connection; it works without them
     m_socket.set_option(asio::ip::tcp::no_delay(true), ignored);
