Red tests: a request that waits in the queue is begun at its deadline

Its worker asks the target with a timeout of 1 ms and reports that the deadline passed during the attempt: by the code the caller is then told unknown in place of not-run, and a key is settled as unknown in place of freed.

--- a/packages/core/unittests/request_leases_test.cpp
+++ b/packages/core/unittests/request_leases_test.cpp
@@ -167,6 +167,23 @@
     EXPECT_TRUE(failures.front().what.retryAfter);
 }
 
+TEST_F(lease_case, aLeaseGrantedAtTheDeadlineIsGivenBack)
+{
+    const instant deadline = start + seconds(10);
+    const auto asked = only<ask_lease>(arrive("r")).front();
+    now = deadline - milliseconds(10);
+    const auto again = only<ask_lease>(post(time_passed{}));
+    ASSERT_EQ(again.size(), 1U) << "the first wish had no answer";
+    now = deadline;
+    const auto actions = answer(again.front(), true);
+    EXPECT_TRUE(only<start_attempt>(actions).empty());
+    EXPECT_EQ(only<end_lease>(actions), (std::vector<end_lease>{{asked.request, again.front().target, now}}));
+    const auto failures = only<answer_failure>(actions);
+    ASSERT_EQ(failures.size(), 1U);
+    EXPECT_EQ(failures.front().what.kind, error_kind::DeadlineExpired);
+    EXPECT_EQ(failures.front().what.known, outcome::NotRun);
+}
+
 TEST_F(lease_case, anAccusationIsToldWithTheEarlierOnesOfItsFingerprint)
 {
     const auto asked = only<ask_lease>(arrive("r")).front();
--- a/packages/core/unittests/request_machine_test.cpp
+++ b/packages/core/unittests/request_machine_test.cpp
@@ -326,6 +326,41 @@
     EXPECT_EQ(only<start_attempt>(end("a", 1, attempt_end::Completed)).size(), 1U);
 }
 
+TEST_F(machine_case, startsNothingAtItsDeadlineWhenATargetBecomesFreeBetweenTwoSweeps)
+{
+    list("e1");
+    report("e1", 1, 1);
+    arrive(requestOf("a"));
+    incoming_request late = requestOf("late");
+    late.deadline = now + milliseconds(10);
+    arrive(late);
+    arrive(requestOf("b"));
+    now = late.deadline;
+    const auto actions = end("a", 1, attempt_end::Completed);
+    const failure refusal = onlyFailure(actions);
+    EXPECT_EQ(refusal.kind, error_kind::DeadlineExpired);
+    EXPECT_EQ(refusal.known, outcome::NotRun);
+    const auto started = only<start_attempt>(actions);
+    ASSERT_EQ(started.size(), 1U);
+    EXPECT_EQ(started.front().request, request_id("b"));
+}
+
+TEST_F(machine_case, aKeyWhoseRequestWaitedToItsDeadlineIsFreeAgain)
+{
+    list("e1");
+    report("e1", 1, 1);
+    arrive(requestOf("a"));
+    incoming_request late = keyedOf("late");
+    late.deadline = now + milliseconds(10);
+    arrive(late);
+    EXPECT_TRUE(only<start_attempt>(post(claim_decided{late.id, claim_verdict::Won, {}, {}})).empty());
+    now = late.deadline;
+    const auto actions = end("a", 1, attempt_end::Completed);
+    EXPECT_TRUE(only<start_attempt>(actions).empty());
+    EXPECT_EQ(only<void_claim>(actions).size(), 1U);
+    EXPECT_TRUE(only<settle_claim>(actions).empty());
+}
+
 TEST_F(machine_case, settlesAWonClaimInTheStepOfItsAnswer)
 {
     list("e1");
