Requests: what waits is refused at its deadline by the step that would begin it

What callers saw: a request that waited for a target up to its deadline could be begun at or after it, and was then cut within about 1 ms. By the code it ended as unknown, where not-run was true, and with a key its record said so too, so that the key was of no use for its whole window. The target got work that nobody waited for. Ruled out: arrivals, won claims, resumes and retries; each compares the deadline with its own step's time. Change: the pump refuses a request at its deadline before it looks for a target, and an attempt under a lease does not start from then on; the lease is given back. Why it holds, and how far: every first or repeated attempt starts in the pump or under a lease, and both compare. A worker that wakes late may still send just after the deadline; what it then says, unknown, is true.

--- a/packages/core/lib/request_attempts.cpp
+++ b/packages/core/lib/request_attempts.cpp
@@ -73,6 +73,10 @@
             break;
         }
         open_request &open = m_open.at(head->id);
+        if (open.request.deadline <= m_now) {
+            refuseUnreachable({head->id});
+            continue;
+        }
         const bool apart = m_quarantine.isAccused(open.request.fingerprint);
         if (apart && open.leaseAsked) {
             blocked.insert(head->lane);
--- a/packages/core/lib/request_leases.cpp
+++ b/packages/core/lib/request_leases.cpp
@@ -53,10 +53,13 @@
     }
 }
 
-/// The target may have been lost, filled or set to leave since it was chosen.
+/// The target may have been lost, filled or set to leave since it was chosen, and the deadline have passed.
 /// \return whether the attempt started.
 bool request_machine::startUnderLease(open_request &open, const target_id &target)
 {
+    if (open.request.deadline <= m_now) {
+        return false;
+    }
     route_query query{open.request, open.tried, true};
     query.leased = &target;
     const route chosen = findRoute(m_targets, m_cache, query);
