Test: a stop's refusal by the instant, with nothing running that could set a flag

The process test sends half a second behind the plan's instant, so it would not see a flag that is set a few ms late again (found by review).

--- a/packages/gateway/unittests/gateway_test.cpp
+++ b/packages/gateway/unittests/gateway_test.cpp
@@ -208,6 +208,31 @@
 
 } // namespace
 
+/// Nothing runs here that could have set a flag at the plan's instant.
+TEST_F(gateway_test, whatArrivesOnceAStopTakesNothingNewIsRefused)
+{
+    configure(objective, longTimeout);
+    list("t1");
+    m_gateway.stopBy(planStop(loopNow(), milliseconds(20), longTimeout));
+    passTime(milliseconds(40));
+    ask();
+    runFor(settled);
+    ASSERT_EQ(m_atTarget.size(), 0U);
+    EXPECT_TRUE(answer().starts_with(refusedAnswer));
+}
+
+TEST_F(gateway_test, whatArrivesBeforeThatIsBegun)
+{
+    configure(objective, longTimeout);
+    list("t1");
+    m_gateway.stopBy(planStop(loopNow(), longTimeout, longTimeout));
+    ask();
+    runUntil([this] {
+        return !m_atTarget.empty();
+    });
+    EXPECT_EQ(m_atTarget.size(), 1U);
+}
+
 TEST_F(gateway_test, whatWaitedTooLongToEndBeforeTheStopIsNotBegun)
 {
     configure(objective, longTimeout);
