Red test: a key's window is told as it is at the answer, not at the claim

Symptom: X-Dedup-Window-Ms names the window that is in force when the answer is made; the claim keeps its key for the one in force when it was placed. Where an operator raises dedup-window-ms in between, the caller is promised more than is kept: of a plain call, in between is the whole call. A repeat between the two ends finds no claim and runs. The test raises the window in the step of the claim, without a clock.

--- a/packages/node/unittests/caller_service_test.cpp
+++ b/packages/node/unittests/caller_service_test.cpp
@@ -10,6 +10,7 @@
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
 
+#include <atomic>
 #include <future>
 
 using namespace fuchsialoom;
@@ -101,6 +102,28 @@
     EXPECT_EQ(toldOf("r4", {{"X-Repeatable", "no"}}), "");
 }
 
+TEST(caller_service, tellsNoLongerDedupWindowThanItsClaimWasPlacedWith)
+{
+    std::atomic<int> window{1000};
+    std::atomic<int> changedTo{86400000};
+    node_rig node;
+    node.window = [&] {
+        return milliseconds(window);
+    };
+    node.decisions.handlers().placeClaim = [&](const place_claim &action) {
+        window = changedTo.load(); // an operator's change, just behind the claim
+        node.decisions.post(claim_decided{action.request, claim_verdict::Won, std::nullopt, std::nullopt, action.number});
+    };
+    node.start();
+    const auto told = [&](const char *id) {
+        const httplib::Result answer = node.ask(id, false, {{"Idempotency-Key", id}, {"X-Repeatable", "no"}});
+        return answer ? answer->get_header_value("X-Dedup-Window-Ms") : "no answer";
+    };
+    EXPECT_EQ(told("r1"), "1000");
+    changedTo = 500;
+    EXPECT_EQ(told("r2"), "500") << "one that was lowered holds at once: it may have come before the claim";
+}
+
 TEST(caller_service, aSecondRequestOfARunningIdIsRefusedAndTheFirstStaysWhole)
 {
     node_rig node;
