Claims: the window told with an answer is never longer than the claim's own

What callers saw: where dedup-window-ms was raised while a request with a key was under way, X-Dedup-Window-Ms named the new window with its answer, while its key was kept for the old one. A repeat that relied on it could run a second time. Cause: the window was read at the answer; a claim's end is fixed when it is placed. For a plain call the whole call lies in between. Ruled out: a window that was lowered; the answer names the lower one, as before. Change: the window is read before the claim is placed too, and the lesser of the two is told. Why it holds, and how far: the claim is placed between the two readings, so a single change can't make the lesser one longer than its own. A window that is raised and lowered again within one request isn't covered.

--- a/packages/node/lib/caller_service.cpp
+++ b/packages/node/lib/caller_service.cpp
@@ -15,6 +15,7 @@
 #include <algorithm>
 #include <atomic>
 #include <cctype>
+#include <optional>
 #include <thread>
 #include <utility>
 
@@ -84,7 +85,8 @@
     request_id id; ///< the caller's, once it is read
     caller_message message;
     std::shared_ptr<void> slot; ///< held while the request is in progress
-    bool owesWindow = false; ///< the answer has yet to name the deduplication window
+    /// Set while the answer has yet to name the deduplication window: the one in force before the claim.
+    std::optional<milliseconds> owedWindow;
 };
 
 /// A failure that httplib itself answers, by its status.
@@ -167,7 +169,7 @@
 {
     const auto model = [this](completion_form form) {
         return [this, form](const httplib::Request &from, httplib::Response &to, const httplib::ContentReader &body) {
-            exchange with{from, to, nextId(), headersOf(from), nullptr, false};
+            exchange with{from, to, nextId(), headersOf(from), nullptr, std::nullopt};
             serveModel(with, body, form);
         };
     };
@@ -178,7 +180,7 @@
     });
     m_http->Post(R"(/services/([A-Za-z0-9._-]+))",
                  [this](const httplib::Request &from, httplib::Response &to, const httplib::ContentReader &body) {
-                     exchange with{from, to, nextId(), headersOf(from), nullptr, false};
+                     exchange with{from, to, nextId(), headersOf(from), nullptr, std::nullopt};
                      servePlain(with, body);
                  });
     const httplib::Server::HandlerWithResponse answerError = [this](const httplib::Request &, httplib::Response &to) {
@@ -249,15 +251,18 @@
 void caller_service::server::accept(exchange &with, const incoming_request &request)
 {
     with.id = request.id;
-    with.owesWindow = request.isClaimed() && m_window;
+    if (request.isClaimed() && m_window) {
+        with.owedWindow = m_window();
+    }
     with.slot = takeSlot();
 }
 
-/// Called when the request's claim is decided: the key's owner has then said what it can promise.
+/// Called when the request's claim is decided: the key's owner has then said what it can promise. A claim
+/// keeps its key for the window in force when it was placed, so one that grew since is not promised.
 void caller_service::server::tellWindow(exchange &with)
 {
-    if (std::exchange(with.owesWindow, false)) {
-        with.to.set_header("X-Dedup-Window-Ms", std::to_string(m_window().count()));
+    if (const std::optional<milliseconds> before = std::exchange(with.owedWindow, std::nullopt)) {
+        with.to.set_header("X-Dedup-Window-Ms", std::to_string(std::min(*before, m_window()).count()));
     }
 }
 
