--- a/bench/fit.h
+++ b/bench/fit.h
@@ -85,7 +85,7 @@
                 fit.residue);
 }
 
-/// How busy the machine is while the bench runs.
+/// How busy the machine is while figures are taken.
 inline void printMachineLoad()
 {
     std::array<double, 1> average{};
