Words by relays: a fleet of hundreds tells itself what it does in three hops

Change: - Package fleet, decision code on virtual time: VMs register their processor share, rank alike, and the first of each domain relay for it; small fleets (16 VMs) are all relays by the same code. Members tell their relay alone and hear of everybody from it, their own part left out. Intervals and silences follow from the number of receivers; a property test checks them from 2 to 400 VMs. - The duty is claimed by relays alone, one after the other by rank. - Members read the store's entries and configuration at their relay, at the store's offsets and by the store's own call, heartbeats left out; a relay that can't vouch for its reads sends them to the store. - Ends of runs are told as soon as sends. Words are bounded in nesting, counts and times. Tests: 9, 60 and 330 VMs with lost, late and reordered words, killed and frozen relays, cut domains; three process tests with 18 VMs. Several of them failed on first drafts of this change (a relay counted twice after a change of roles; a member's count of the fleet lost with its relay). Changed tests: peer_digest_test is words_test now, for the new words, and stricter; demand_view has a file of its own; pools in prompt_reading_test stay in place, as they can't be copied any more.

--- /dev/null
+++ b/packages/fleet/unittests/fleet_world.h
@@ -0,0 +1,110 @@
+/// \file
+/// A fleet of fleet_nodes on virtual time, with datagrams that are lost, late and out of order, VMs that freeze or end,
+/// and domains that are cut off.
+#pragma once
+
+#include "fuchsialoom/fleet/fleet_node.h"
+
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace fuchsialoom
+{
+
+struct fleet_world_options
+{
+    std::size_t vms = 9;
+    std::size_t domains = 4;
+    std::uint64_t seed = 1;
+    double loss = 0; ///< share of the datagrams
+    milliseconds longestDelay{3};
+};
+
+class fleet_world
+{
+public:
+    struct vm_state
+    {
+        vm_record record;
+        std::unique_ptr<fleet_node> node;
+        std::uint64_t incarnation = 0;
+        bool frozen = false;
+        flight_counts own; ///< what it really has in flight
+        std::set<target_key> changed;
+        flight_ledger seen; ///< what it was told of others
+        std::size_t live = 1; ///< VMs, as it was told
+        std::size_t lowestLive = 0; ///< since the last resetLowest()
+        std::optional<std::uint64_t> fence; ///< it holds the duty
+        instant holderHeardAt{};
+        std::set<residency_news> news;
+        std::set<adapter_want> wants;
+        std::map<vm_id, std::vector<demand_entry>> demand;
+        std::vector<demand_entry> ownDemand;
+        std::size_t silentRelays = 0;
+        std::uint64_t sent = 0;
+        std::uint64_t received = 0;
+    };
+
+    explicit fleet_world(fleet_world_options options);
+
+    /// All VMs start within 0.3 s and know each other's records 0.1 s after the last one's start.
+    void startAll();
+    void run(milliseconds length);
+
+    void begin(std::size_t vm, target_key target, std::uint32_t requests);
+    void kill(std::size_t vm);
+    void restart(std::size_t vm);
+    void freeze(std::size_t vm, bool frozen);
+    /// Nothing goes between \p domain and the others.
+    void cut(const domain_id &domain, bool isCut);
+
+    vm_state &at(std::size_t vm)
+    {
+        return m_vms.at(vm);
+    }
+    std::size_t size() const
+    {
+        return m_vms.size();
+    }
+    instant now() const
+    {
+        return m_now;
+    }
+    bool isUp(std::size_t vm) const
+    {
+        return m_vms.at(vm).node != nullptr;
+    }
+    /// What all other VMs that are up have in flight at \p target.
+    std::uint32_t othersAt(std::size_t vm, target_key target) const;
+    std::vector<std::size_t> relays() const;
+    void resetLowest();
+
+private:
+    struct flying
+    {
+        std::shared_ptr<const peer_datagram> datagram;
+        std::size_t from;
+        endpoint to;
+    };
+
+    fleet_events eventsOf(std::size_t vm);
+    void start(std::size_t vm);
+    void step();
+    void send(std::size_t from, const fleet_outbox &out);
+    void launch(std::size_t from, const endpoint &to, const std::shared_ptr<const peer_datagram> &datagram);
+    void deliver(const flying &one);
+
+    fleet_world_options m_options;
+    std::mt19937_64 m_random;
+    instant m_now{seconds(100)};
+    std::vector<vm_state> m_vms;
+    std::map<endpoint, std::size_t> m_byAddress;
+    std::multimap<instant, flying> m_flying;
+    std::set<domain_id> m_cut;
+};
+
+} // namespace fuchsialoom
--- a/packages/gateway/include/fuchsialoom/gateway/duty_lease.h
+++ b/packages/gateway/include/fuchsialoom/gateway/duty_lease.h
@@ -15,6 +15,7 @@
 ///     A successor that hears so waits only for the turn time after that order.
 #pragma once
 
+#include "fuchsialoom/fleet/words.h"
 #include "fuchsialoom/support/ids.h"
 #include "fuchsialoom/support/name_table.h"
 #include "fuchsialoom/support/time.h"
@@ -53,15 +54,6 @@
     friend bool operator==(const lease_record &, const lease_record &) = default;
 };
 
-/// A holder's word that it orders no more under a fence.
-struct renounced_fence
-{
-    std::uint64_t fence = 0;
-    milliseconds sinceLastOrder{0}; ///< at least so long ago it ordered last
-
-    friend bool operator==(const renounced_fence &, const renounced_fence &) = default;
-};
-
 struct lease_options
 {
     vm_id vm;
@@ -69,7 +61,7 @@
     milliseconds lease{1500};
     milliseconds renewEvery{600};
     milliseconds turnTime{3000}; ///< between orders of two VMs
-    milliseconds holderSilence{1000}; ///< a holder that peers don't hear for so long may be gone
+    milliseconds holderSilence{1000}; ///< a holder that peers don't hear for so long may be gone, unless set otherwise
     milliseconds confirm{900}; ///< between two looks at the log: a holder that lives renews meanwhile
 };
 
@@ -100,6 +92,12 @@
     /// Word of a peer that holds the duty.
     void onHolderHeard(instant now);
 
+    /// A holder that peers don't hear for so long may be gone.
+    void setHolderSilence(milliseconds silence)
+    {
+        m_holderSilence = silence;
+    }
+
     /// Word of a peer that held it.
     void onRenounced(instant now, const renounced_fence &word);
 
@@ -168,6 +166,7 @@
     milliseconds sinceTurnBegan(instant now) const;
 
     const lease_options m_options;
+    milliseconds m_holderSilence; ///< a duration, since it changes with this VM's rank while the silence lasts
     state m_state = state::Watching;
     bool m_busy = false; ///< a read or append is under way
     bool m_mustRead = true; ///< what the log's newest record is isn't known for certain
--- a/packages/gateway/include/fuchsialoom/gateway/gateway.h
+++ b/packages/gateway/include/fuchsialoom/gateway/gateway.h
@@ -5,10 +5,10 @@
 #pragma once
 
 #include "fuchsialoom/core/admission_queue.h"
+#include "fuchsialoom/fleet/words.h"
 #include "fuchsialoom/gateway/decision_log.h"
 #include "fuchsialoom/gateway/drain_rules.h"
 #include "fuchsialoom/gateway/link_pool.h"
-#include "fuchsialoom/gateway/peer_digest.h"
 #include "fuchsialoom/gateway/request_facts.h"
 #include "fuchsialoom/gateway/retry_rules.h"
 #include "fuchsialoom/gateway/routes.h"
@@ -140,7 +140,7 @@
         m_timeToOrders = std::move(ask);
     }
 
-    /// Called when a request was sent, so that peers hear of it before they choose for their next ones.
+    /// Called when what this VM has in flight changed, so that peers hear of it before they choose for their next ones.
     void onFlights(std::function<void()> callback)
     {
         m_onFlights = std::move(callback);
@@ -165,6 +165,7 @@
     friend class exchange;
 
     void enqueue(const std::shared_ptr<exchange> &one);
+    void noteFlights();
     void forget(exchange &one);
     pool_verdict tryDispatch(exchange &one);
     /// What can't meet its objective any more goes behind what can.
--- a/packages/gateway/include/fuchsialoom/gateway/residency_duty.h
+++ b/packages/gateway/include/fuchsialoom/gateway/residency_duty.h
@@ -36,6 +36,9 @@
     /// To be called every tenth of a second or so.
     void tick();
 
+    /// This VM's place among those that may hold the duty: the next one claims it first, and nothing means never.
+    void setRank(std::optional<std::size_t> rank);
+
     /// Lets go for good; \return whether a record of it is on its way.
     bool release();
     bool isReleased() const
--- a/packages/gateway/include/fuchsialoom/gateway/residency_keeper.h
+++ b/packages/gateway/include/fuchsialoom/gateway/residency_keeper.h
@@ -10,8 +10,8 @@
 #pragma once
 
 #include "fuchsialoom/core/wanted_placement.h"
+#include "fuchsialoom/fleet/words.h"
 #include "fuchsialoom/gateway/decision_log.h"
-#include "fuchsialoom/gateway/peer_digest.h"
 #include "fuchsialoom/gateway/target_pool.h"
 
 #include <cstdint>
--- a/packages/gateway/include/fuchsialoom/gateway/target_pool.h
+++ b/packages/gateway/include/fuchsialoom/gateway/target_pool.h
@@ -4,6 +4,8 @@
 #pragma once
 
 #include "fuchsialoom/core/targets.h"
+#include "fuchsialoom/fleet/flight_ledger.h"
+#include "fuchsialoom/fleet/words.h"
 #include "fuchsialoom/gateway/routes.h"
 
 #include <cstdint>
@@ -40,38 +42,11 @@
     friend bool operator==(const listed_upstream &, const listed_upstream &) = default;
 };
 
-/// What a target holds changed, by word of the VM that ordered it.
-struct residency_news
-{
-    target_id target;
-    model_id model;
-    adapter_id adapter; ///< empty: the model itself
-    bool present = true;
-
-    friend auto operator<=>(const residency_news &, const residency_news &) = default;
-};
-
-/// What is in flight at a target.
-struct target_flights
-{
-    std::uint32_t requests = 0;
-    std::uint32_t unreadTokens = 0; ///< of prompts whose first event hasn't come
-
-    target_flights &operator+=(const target_flights &other)
-    {
-        requests += other.requests;
-        unreadTokens += other.unreadTokens;
-        return *this;
-    }
-    friend bool operator==(const target_flights &, const target_flights &) = default;
-};
-
-/// One VM's word of what it has in flight: by target.
-using flight_counts = std::map<target_id, target_flights>;
-
 struct pool_target
 {
-    listed_upstream listed;
+    listed_upstream listed; ///< with what is news
+    std::vector<held_model> listedModels; ///< without
+    target_key key; ///< of the listed id
     target_flights own;
     target_flights peers; ///< the sum of their latest words
     double trouble = 0; ///< share of late attempts that failed, decaying; 0 to 1
@@ -136,6 +111,8 @@
 {
 public:
     explicit target_pool(domain_id ownDomain);
+    target_pool(const target_pool &) = delete;
+    target_pool &operator=(const target_pool &) = delete;
 
     /// \name What the platform lists.
     /// @{
@@ -154,7 +131,10 @@
     void setPeerFlights(instant now, const vm_id &vm, const flight_counts &counts);
     /// Those that changed, zeros among them.
     void changePeerFlights(instant now, const vm_id &vm, const flight_counts &changed);
+    void forgetPeerFlights(const vm_id &vm);
     void expirePeers(instant now);
+    /// News that lapsed gives way to the list's word. \return whether any did.
+    bool expireNews(instant now);
 
     target_choice choose(instant now, const target_query &query, std::uint64_t draw);
 
@@ -193,18 +173,6 @@
     bool hasRoom(const service_id &service, const model_id &model) const;
 
 private:
-    struct told_flights
-    {
-        target_flights flights;
-        instant toldAt{};
-    };
-
-    struct peer_flights
-    {
-        std::map<target_id, told_flights> counts;
-        instant heardAt{};
-    };
-
     struct held_news
     {
         residency_news news;
@@ -213,9 +181,6 @@
 
     void applyNews(instant now, pool_target &target);
     void setHeld(pool_target &target, const residency_news &news);
-    void countPeers();
-    /// A peer's word of \p id changed \p from one count \p to another.
-    void shiftPeers(const target_id &id, const target_flights &from, const target_flights &to);
     double scoreOf(instant now, const pool_target &target, std::uint64_t draw) const;
     static std::uint32_t placesOf(const pool_target &target);
     /// Requests at \p target, as far as they can still be there.
@@ -225,7 +190,8 @@
     std::map<target_id, pool_target> m_targets;
     instant m_lastArrival{}; ///< when a target was last listed that wasn't known before
     bool m_settled = false;
-    std::map<vm_id, peer_flights> m_peers;
+    std::map<target_key, target_id> m_keys; ///< of the targets listed
+    flight_ledger m_peers;
     std::map<service_id, microseconds> m_runs; ///< of plain services: mean of the latest runs
     std::set<target_id> m_changedFlights; ///< own, not told yet
     std::map<target_id, std::vector<held_news>> m_news; ///< not yet certain to be in the list; bounded by time
--- a/packages/gateway/lib/duty_lease.cpp
+++ b/packages/gateway/lib/duty_lease.cpp
@@ -12,6 +12,7 @@
 
 duty_lease::duty_lease(lease_options options, instant now)
     : m_options(std::move(options))
+    , m_holderSilence(m_options.holderSilence)
     , m_nextAt(now)
     , m_heardAt(now)
 {
@@ -62,7 +63,7 @@
         return lease_action::None;
     }
     if (m_state == state::Watching) {
-        if (now - m_heardAt < m_options.holderSilence) {
+        if (now - m_heardAt < m_holderSilence) {
             m_seenEnd.reset();
             return lease_action::None;
         }
--- a/packages/gateway/lib/exchange_attempts.cpp
+++ b/packages/gateway/lib/exchange_attempts.cpp
@@ -166,6 +166,7 @@
         return;
     }
     m_owner.m_pool.read(m_attempt->target, m_attempt->unreadTokens);
+    m_owner.noteFlights();
     m_attempt->unreadTokens = 0;
     m_owner.pump();
 }
@@ -328,6 +329,7 @@
     }
     const target_id target = m_attempt->target;
     m_owner.m_pool.end(target, m_attempt->unreadTokens);
+    m_owner.noteFlights();
     m_owner.m_links.give(target, m_attempt->link);
     m_attempt.reset();
 }
--- a/packages/gateway/lib/gateway.cpp
+++ b/packages/gateway/lib/gateway.cpp
@@ -121,6 +121,13 @@
     pump();
 }
 
+void gateway::noteFlights()
+{
+    if (m_onFlights) {
+        m_onFlights();
+    }
+}
+
 pool_verdict gateway::tryDispatch(exchange &one)
 {
     const target_query query = one.query();
@@ -130,9 +137,7 @@
         const auto held = m_queued.extract(one.serial());
         m_demand[one.facts().model].waiting -= 1;
         one.dispatch(*choice.target);
-        if (m_onFlights) {
-            m_onFlights();
-        }
+        noteFlights();
         return choice.verdict;
     }
     if (choice.verdict == pool_verdict::NotResident && !query.adapter.empty() && m_onWantedAdapter) {
--- a/packages/gateway/lib/peer_exchange.cpp
+++ b/packages/gateway/lib/peer_exchange.cpp
@@ -4,30 +4,9 @@
 
 #include "fuchsialoom/http/http_link.h"
 
-#include <algorithm>
-
 namespace fuchsialoom
 {
 
-/// Between two digests of a VM that has news, so that a target's load is known everywhere before a few
-/// more requests have been sent there: a VM sends 21 requests a second.
-static constexpr milliseconds leastInterval{150};
-/// For each VM that listens: keeps what a VM receives at 60 datagrams a second, whatever the number of VMs.
-static constexpr milliseconds intervalPerPeer{16};
-/// A change that peers wait for goes out so soon; what changes meanwhile goes along.
-static constexpr milliseconds hasteDelay{4};
-/// Requests sent within so long go into one note.
-static constexpr milliseconds noteDelay{2};
-/// Up to so many peers each send is noted to all; beyond, they hear of it by digests alone. At 72 VMs notes and
-/// digests together took 0.043 of a core a VM, measured on a calm day of 450 requests a second; notes grow with requests
-/// times VMs, and at 330 VMs they would be 19,000 datagrams a second from each.
-static constexpr std::size_t mostNotedPeers = 96;
-/// A peer that was silent for so long isn't counted as live: ten digests of nine VMs.
-static constexpr milliseconds liveSilence{1500};
-/// One that was never heard, or not for long, is no longer sent to.
-static constexpr seconds forgetAfter{30};
-/// Every so many digests carry the addresses of the peers.
-static constexpr std::uint64_t peersEvery = 8;
 /// Bytes of a datagram that is still sent; larger ones would be cut into many pieces.
 static constexpr std::size_t mostBytes = 32768;
 
@@ -36,135 +15,131 @@
     return {asio::ip::make_address(address.host), address.port};
 }
 
+/// The fleet's changes become lines of the log, beside what the host makes of them.
+static fleet_events withLog(fleet_events events, decision_log &log, const fleet_node &fleet)
+{
+    events.onChange = [told = std::move(events.onChange), &log, &fleet](fleet_change change, const vm_id &vm) {
+        log.write(
+            loopNow(),
+            log_line("fleet").with("change", change).with("peer", vm).with("live", fleet.liveVms()).with("members", fleet.memberCount()));
+        if (told) {
+            told(change, vm);
+        }
+    };
+    return events;
+}
+
 peer_exchange::peer_exchange(asio::io_context &loop,
-                             const endpoint &own,
-                             vm_id vm,
+                             const vm_record &self,
                              std::uint64_t incarnation,
-                             peer_events events,
+                             fleet_events events,
                              decision_log &log)
-    : m_socket(loop, udpEndpointOf(own))
+    : m_socket(loop, udpEndpointOf(self.address))
     , m_timer(loop)
-    , m_noteTimer(loop)
-    , m_own(own)
-    , m_vm(std::move(vm))
-    , m_incarnation(incarnation)
-    , m_events(std::move(events))
     , m_log(log)
+    , m_fleet(self, incarnation, withLog(std::move(events), log, m_fleet))
 {
 }
 
 void peer_exchange::start()
 {
     receive();
-    m_nextAt = loopNow();
-    tick();
+    advance();
 }
 
-void peer_exchange::addPeer(const endpoint &address)
+void peer_exchange::know(const vm_record &record)
 {
-    if (address == m_own) {
-        return;
-    }
-    const auto [found, isNew] = m_peers.try_emplace(address);
-    if (isNew) {
-        found->second.addedAt = loopNow();
-        hasten();
-    }
+    m_fleet.know(loopNow(), record);
+    armTimer();
 }
 
-milliseconds peer_exchange::interval() const
+void peer_exchange::addSeed(const endpoint &address)
 {
-    return std::max(leastInterval, intervalPerPeer * static_cast<int>(m_peers.size()));
+    m_fleet.addSeed(loopNow(), address);
+    hasten();
 }
 
-void peer_exchange::hasten()
+void peer_exchange::noteFlights()
 {
-    const instant soon = loopNow() + hasteDelay;
-    if (soon < m_nextAt) {
-        m_nextAt = soon;
-        tick();
-    }
+    m_fleet.noteFlights(loopNow());
+    armTimer();
 }
 
-void peer_exchange::tick()
+void peer_exchange::raiseWant(const adapter_want &want)
 {
-    if (loopNow() >= m_nextAt) {
-        broadcast();
-        m_nextAt = loopNow() + interval();
-    }
-    m_timer.expires_at(std::chrono::steady_clock::time_point(m_nextAt.time_since_epoch()));
-    m_timer.async_wait([this](const asio::error_code &problem) {
-        if (!problem) {
-            tick();
-        }
-    });
+    m_fleet.raiseWant(loopNow(), want);
+    armTimer();
 }
 
-void peer_exchange::broadcast()
+void peer_exchange::tellNews(const std::vector<residency_news> &news)
 {
-    const instant now = loopNow();
-    std::erase_if(m_peers, [now](const auto &entry) {
-        const peer &one = entry.second;
-        return now - std::max(one.heardAt, one.addedAt) > forgetAfter;
-    });
-    noteLiveCount();
-    if (m_peers.empty()) {
-        return;
-    }
-    peer_digest digest = m_events.compose();
-    digest.vm = m_vm;
-    digest.incarnation = m_incarnation;
-    m_sequence += 1;
-    digest.sequence = m_sequence;
-    if (m_sequence % peersEvery == 1) {
-        for (const auto &[address, one] : m_peers) {
-            if (one.live) {
-                digest.peers.push_back(address);
-            }
-        }
-    }
-    m_events.changedFlights(); // the whole digest tells them
-    const std::string bytes = encodeDigest(digest);
-    if (bytes.size() > mostBytes) {
-        m_log.write(now, log_line("digest-too-large").with("bytes", bytes.size()));
-        return;
+    m_fleet.tellNews(loopNow(), news);
+    armTimer();
+}
+
+void peer_exchange::hasten()
+{
+    m_fleet.hasten(loopNow());
+    armTimer();
+}
+
+void peer_exchange::advance()
+{
+    m_advancing = true;
+    if (loopNow() >= m_fleet.nextAt()) {
+        send(m_fleet.advance(loopNow()));
     }
-    sendToAll(bytes);
+    m_advancing = false;
+    m_armedFor = farFuture;
+    armTimer();
 }
 
-void peer_exchange::hastenNote()
+void peer_exchange::armTimer()
 {
-    if (m_noteArmed || m_peers.size() > mostNotedPeers) {
+    const instant next = m_fleet.nextAt();
+    if (m_advancing || next >= m_armedFor) {
         return;
     }
-    m_noteArmed = true;
-    m_noteTimer.expires_after(noteDelay);
-    m_noteTimer.async_wait([this](const asio::error_code &problem) {
-        m_noteArmed = false;
+    m_armedFor = next;
+    m_timer.expires_at(std::chrono::steady_clock::time_point(next.time_since_epoch()));
+    m_timer.async_wait([this](const asio::error_code &problem) {
         if (!problem) {
-            sendNote();
+            advance();
         }
     });
 }
 
-void peer_exchange::sendNote()
+void peer_exchange::send(const fleet_outbox &out)
 {
-    flight_note note{m_vm, m_incarnation, 0, m_events.changedFlights()};
-    if (note.changed.empty()) {
-        return; // a digest told them meanwhile
+    for (const fleet_outbox::digest_out &one : out.digests) {
+        const std::string bytes = encodeDigest(one.digest);
+        for (const endpoint &to : one.to) {
+            sendTo(to, bytes);
+        }
+    }
+    for (const fleet_outbox::note_out &one : out.notes) {
+        const std::string bytes = encodeNote(one.note);
+        for (const endpoint &to : one.to) {
+            sendTo(to, bytes);
+        }
+    }
+    for (const fleet_outbox::relay_out &one : out.relayWords) {
+        const std::string word = encodeRelayWord(one.word);
+        for (const auto &[to, yours] : one.to) {
+            sendTo(to, encodeMemberWord(word, yours));
+        }
     }
-    m_sequence += 1;
-    note.sequence = m_sequence;
-    sendToAll(encodeNote(note));
 }
 
-void peer_exchange::sendToAll(const std::string &bytes)
+void peer_exchange::sendTo(const endpoint &to, const std::string &bytes)
 {
-    for (const auto &[address, one] : m_peers) {
-        asio::error_code ignored; // datagrams may be lost anyway
-        m_socket.send_to(asio::buffer(bytes), udpEndpointOf(address), 0, ignored);
-        m_sent += 1;
+    if (bytes.size() > mostBytes) {
+        m_log.write(loopNow(), log_line("datagram-too-large").with("bytes", bytes.size()).with("to", toText(to)));
+        return;
     }
+    asio::error_code ignored; // datagrams may be lost anyway
+    m_socket.send_to(asio::buffer(bytes), udpEndpointOf(to), 0, ignored);
+    m_sent += 1;
 }
 
 void peer_exchange::receive()
@@ -182,83 +157,17 @@
 
 void peer_exchange::onDatagram(std::string_view bytes, const asio::ip::udp::endpoint &from)
 {
+    m_received += 1;
     const std::optional<peer_datagram> datagram = decodeDatagram(bytes);
     if (!datagram) {
         m_malformed += 1;
         if (m_malformed == 1) {
-            m_log.write(loopNow(), log_line("digest-malformed").with("from", from.address().to_string()));
+            m_log.write(loopNow(), log_line("datagram-malformed").with("from", from.address().to_string()));
         }
         return;
     }
-    if (const auto *note = std::get_if<flight_note>(&*datagram)) {
-        if (isNews(from, note->vm, note->incarnation, note->sequence)) {
-            m_events.onNote(*note);
-        }
-        return;
-    }
-    const auto &digest = std::get<peer_digest>(*datagram);
-    if (!isNews(from, digest.vm, digest.incarnation, digest.sequence)) {
-        return;
-    }
-    for (const endpoint &known : digest.peers) {
-        addPeer(known);
-    }
-    m_events.onDigest(digest);
-}
-
-bool peer_exchange::isNews(const asio::ip::udp::endpoint &from, const vm_id &vm, std::uint64_t incarnation, std::uint64_t sequence)
-{
-    if (vm == m_vm) {
-        return false;
-    }
-    const instant now = loopNow();
-    const endpoint address{from.address().to_string(), from.port()};
-    peer &one = m_peers[address];
-    const bool older = std::pair(incarnation, sequence) <= std::pair(one.incarnation, one.sequence);
-    if (one.vm == vm && older) {
-        return false;
-    }
-    const bool restarted = one.vm != vm || one.incarnation != incarnation;
-    one.vm = vm;
-    one.incarnation = incarnation;
-    one.sequence = sequence;
-    one.heardAt = now;
-    if (!one.live) {
-        one.live = true;
-        m_log.write(now,
-                    log_line("peer-heard").with("peer", one.vm).with("address", toText(address)).with("new", restarted ? "yes" : "no"));
-        noteLiveCount();
-    }
-    return true;
-}
-
-void peer_exchange::noteLiveCount()
-{
-    const instant now = loopNow();
-    std::size_t live = 1;
-    for (auto &[address, one] : m_peers) {
-        if (one.live && now - one.heardAt > liveSilence) {
-            one.live = false;
-            const auto silent = std::chrono::duration_cast<milliseconds>(now - one.heardAt);
-            m_log.write(now, log_line("peer-silent").with("peer", one.vm).with("silent-ms", silent));
-        }
-        live += one.live ? 1 : 0;
-    }
-    if (live != m_live) {
-        m_live = live;
-        m_events.onLiveCount(live);
-    }
-}
-
-std::vector<vm_id> peer_exchange::livePeers() const
-{
-    std::vector<vm_id> live;
-    for (const auto &[address, one] : m_peers) {
-        if (one.live) {
-            live.push_back(one.vm);
-        }
-    }
-    return live;
+    m_fleet.onDatagram(loopNow(), *datagram, {from.address().to_string(), from.port()});
+    armTimer();
 }
 
 } // namespace fuchsialoom
--- a/packages/gateway/lib/residency_duty.cpp
+++ b/packages/gateway/lib/residency_duty.cpp
@@ -24,6 +24,18 @@
 {
 }
 
+/// A holder counts as gone after several of its words were lost.
+static constexpr milliseconds holderSilence{1000};
+/// Between two candidates: one that lives has claimed the duty and told so before the next one looks.
+static constexpr milliseconds perRank{150};
+static constexpr std::size_t mostRanks = 10;
+static constexpr milliseconds never = std::chrono::hours(24 * 365);
+
+void residency_duty::setRank(std::optional<std::size_t> rank)
+{
+    m_lease.setHolderSilence(rank ? holderSilence + perRank * static_cast<int>(std::min(*rank, mostRanks)) : never);
+}
+
 std::optional<std::uint64_t> residency_duty::fence() const
 {
     return m_lease.isHolder(clock()) ? std::optional(m_lease.fence()) : std::nullopt;
--- a/packages/gateway/lib/target_pool.cpp
+++ b/packages/gateway/lib/target_pool.cpp
@@ -59,6 +59,12 @@
 
 target_pool::target_pool(domain_id ownDomain)
     : m_ownDomain(std::move(ownDomain))
+    , m_peers([this](target_key key, const target_flights &sum) {
+        const auto named = m_keys.find(key);
+        if (named != m_keys.end()) {
+            m_targets.at(named->second).peers = sum;
+        }
+    })
 {
 }
 
@@ -108,17 +114,39 @@
     pool_target &entry = m_targets[target.id];
     const listed_upstream before = entry.listed;
     entry.listed = std::move(target);
+    entry.listedModels = entry.listed.models;
     applyNews(now, entry);
     if (before.address != entry.listed.address) {
         entry.displaced = false;
     }
     if (before.id.empty()) {
         m_lastArrival = now;
-        countPeers();
+        entry.key = target_key(entry.listed.id);
+        m_keys.insert_or_assign(entry.key, entry.listed.id);
+        entry.peers = m_peers.sumAt(entry.key);
     }
     return before != entry.listed;
 }
 
+bool target_pool::expireNews(instant now)
+{
+    std::vector<target_id> lapsed;
+    for (const auto &[id, kept] : m_news) {
+        const bool anyLapsed = std::any_of(kept.begin(), kept.end(), [now](const held_news &one) {
+            return one.until <= now;
+        });
+        if (anyLapsed) {
+            lapsed.push_back(id);
+        }
+    }
+    for (const target_id &id : lapsed) {
+        pool_target &target = m_targets.at(id);
+        target.listed.models = target.listedModels;
+        applyNews(now, target);
+    }
+    return !lapsed.empty();
+}
+
 bool target_pool::isSettled(instant now)
 {
     m_settled = m_settled || (!m_targets.empty() && now - m_lastArrival >= listingSettle);
@@ -129,6 +157,10 @@
 {
     m_targets.erase(id);
     m_news.erase(id);
+    const auto key = m_keys.find(target_key(id));
+    if (key != m_keys.end() && key->second == id) {
+        m_keys.erase(key);
+    }
 }
 
 void target_pool::learn(instant now, const residency_news &news)
@@ -152,26 +184,17 @@
 
 void target_pool::setPeerFlights(instant now, const vm_id &vm, const flight_counts &counts)
 {
-    peer_flights &known = m_peers[vm];
-    for (const auto &[id, told] : known.counts) {
-        shiftPeers(id, told.flights, {});
-    }
-    known = {{}, now};
-    for (const auto &[id, count] : counts) {
-        known.counts[id] = {count, now};
-        shiftPeers(id, {}, count);
-    }
+    m_peers.set(now, vm, counts);
 }
 
 void target_pool::changePeerFlights(instant now, const vm_id &vm, const flight_counts &changed)
 {
-    peer_flights &known = m_peers[vm];
-    known.heardAt = now;
-    for (const auto &[id, count] : changed) {
-        told_flights &told = known.counts[id];
-        shiftPeers(id, told.flights, count);
-        told = {count, now};
-    }
+    m_peers.change(now, vm, changed);
+}
+
+void target_pool::forgetPeerFlights(const vm_id &vm)
+{
+    m_peers.forget(vm);
 }
 
 bool target_pool::displace(instant now, const target_id &id)
@@ -191,40 +214,7 @@
     for (auto &[id, target] : m_targets) {
         target.displaced = target.displaced && now < target.displacedUntil;
     }
-    const std::size_t gone = std::erase_if(m_peers, [now](const auto &peer) {
-        return now - peer.second.heardAt > peerSilence;
-    });
-    if (gone > 0) {
-        countPeers();
-    }
-}
-
-/// A note comes with each send of each peer. With all words of all peers added up anew for each of them, days of 60 VMs
-/// took 400 s of processor time and more.
-void target_pool::shiftPeers(const target_id &id, const target_flights &from, const target_flights &to)
-{
-    const auto found = m_targets.find(id);
-    if (found == m_targets.end()) {
-        return; // counted when it is listed
-    }
-    target_flights &sum = found->second.peers;
-    sum.requests = sum.requests - from.requests + to.requests;
-    sum.unreadTokens = sum.unreadTokens - from.unreadTokens + to.unreadTokens;
-}
-
-void target_pool::countPeers()
-{
-    for (auto &[id, target] : m_targets) {
-        target.peers = {};
-    }
-    for (const auto &[vm, flights] : m_peers) {
-        for (const auto &[id, count] : flights.counts) {
-            const auto found = m_targets.find(id);
-            if (found != m_targets.end()) {
-                found->second.peers += count.flights;
-            }
-        }
-    }
+    m_peers.forgetSilent(now - peerSilence);
 }
 
 /// Requests that a target gets at once. An engine queues more, but what waits there waits in the order
@@ -241,14 +231,7 @@
         return target.inFlight();
     }
     const instant oldest = now - runsTold * run->second - wordTime;
-    std::uint32_t count = target.own.requests;
-    for (const auto &[vm, flights] : m_peers) {
-        const auto told = flights.counts.find(target.listed.id);
-        if (told != flights.counts.end() && told->second.toldAt >= oldest) {
-            count += told->second.flights.requests;
-        }
-    }
-    return count;
+    return target.own.requests + m_peers.requestsToldSince(target.key, oldest);
 }
 
 void target_pool::noteRun(const service_id &service, milliseconds length)
--- a/packages/gateway/unittests/prompt_reading_test.cpp
+++ b/packages/gateway/unittests/prompt_reading_test.cpp
@@ -157,7 +157,7 @@
     }
 
     int m_noteEvery;
-    std::vector<target_pool> m_pools;
+    std::deque<target_pool> m_pools; ///< pools stay where they are
     std::vector<std::deque<reading_prompt>> m_reading;
     std::vector<waiting_prompt> m_waiting;
     std::mt19937 m_random{20261203};
--- a/packages/gateway/unittests/target_pool_test.cpp
+++ b/packages/gateway/unittests/target_pool_test.cpp
@@ -252,4 +252,24 @@
     }
 }
 
+/// Entries that repeat what a target said before needn't be listed again: the list's word comes back by itself.
+TEST(target_pool_news, whatLapsesGivesWayToTheList)
+{
+    constexpr instant start = instant(std::chrono::seconds(1000));
+    target_pool pool{domain_id("a")};
+    listed_upstream engine;
+    engine.id = target_id("e1");
+    engine.service = service_id("s");
+    engine.isEngine = true;
+    engine.models = {{model_id("m1"), {}}};
+    pool.list(start, engine);
+    pool.noteAbsent(start, engine.id, model_id("m1"), {});
+    pool.learn(start + milliseconds(1000), {engine.id, model_id("m2"), {}, true});
+    EXPECT_FALSE(pool.find(engine.id)->holds(model_id("m1"), {}));
+    EXPECT_FALSE(pool.expireNews(start + milliseconds(500)));
+    EXPECT_TRUE(pool.expireNews(start + milliseconds(3500)));
+    EXPECT_TRUE(pool.find(engine.id)->holds(model_id("m1"), {}));
+    EXPECT_TRUE(pool.find(engine.id)->holds(model_id("m2"), {})) << "this news holds on";
+}
+
 } // namespace fuchsialoom
--- a/scripts/test-sanitized.sh
+++ b/scripts/test-sanitized.sh
@@ -3,7 +3,7 @@
 # kernel under the thread sanitizer.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-unit_targets=(support_tests settings_tests core_tests wire_tests node_tests http_tests gateway_tests platform_tests)
+unit_targets=(support_tests settings_tests core_tests wire_tests node_tests http_tests fleet_tests gateway_tests platform_tests)
 build_targets() {
     local folder=$1 sanitizers=$2
     shift 2
