--- a/packages/fleet/lib/fleet_sending.cpp
+++ b/packages/fleet/lib/fleet_sending.cpp
@@ -118,6 +118,7 @@
         add(member.demand);
     }
     std::vector<demand_entry> entries;
+    entries.reserve(sums.size());
     for (const auto &[key, sum] : sums) {
         entries.push_back(sum);
     }
@@ -143,6 +144,7 @@
 static std::vector<Key> keysOf(const std::map<Key, instant> &entries)
 {
     std::vector<Key> keys;
+    keys.reserve(entries.size());
     for (const auto &[key, since] : entries) {
         keys.push_back(key);
     }
