--- a/packages/gateway/lib/replica_plan.cpp
+++ b/packages/gateway/lib/replica_plan.cpp
@@ -11,10 +11,8 @@
 /// Streams that a model's only copy is worth, beside its own: a quiet model is asked for once or twice a second,
 /// and while it has no place its requests wait for a load.
 static constexpr double onlyCopy = 6.0;
-/// And for each second that it takes to have it back, from where its weights would lie then.
-/// With 0.8 of an engine's slots in place of both, a model whose 200 streams had four copies got no more for 7 s
-/// while quiet models that a lost engine had held were loaded again: mean worth of the days with trouble 0.702 and
-/// 0.670, with these 0.730 and 0.679, with half of them 0.725 and 0.675 (three scores each).
+/// And for each second that it takes to have it back, from where its weights would lie then. Small enough that a very
+/// busy model gets its copies before quiet ones that a lost engine held are loaded again.
 static constexpr double onlyCopyPerSecond = 4.0;
 /// Streams that a further copy has to take over. A load is priced like the requests of one stream over a
 /// few seconds.
@@ -30,9 +28,7 @@
 /// What a place costs for each stream that its engine has already: engines share their slots.
 static constexpr double loadWeight = 0.3;
 /// A copy counts for what is left of so many seconds once it serves. Demand moves on within some 10 s, but a busy
-/// model needs copies for longer than one move lasts. With the place of weights counted so, mean worth of the days
-/// with trouble rose from 0.560 to 0.598 where loads take 9 s, and 2.3 s from an engine's disk (two scores); at 12 s
-/// and 40 s it was the same within the spread.
+/// model needs copies for longer than one move lasts.
 static constexpr double horizonSeconds = 20.0;
 /// Of a load from the store, what one of weights at hand takes where that isn't told.
 static constexpr double atHandShare = 1.0 / 3;
--- a/packages/gateway/lib/residency_plan.cpp
+++ b/packages/gateway/lib/residency_plan.cpp
@@ -15,9 +15,7 @@
 /// Streams that a model's engines are to have for each that runs or waits: arrivals come in clumps of three.
 static constexpr double headroom = 1.35;
 /// Seconds that a plan looks ahead on a rise, beside a load's time: the unload that makes room waits for its runs, 1.5
-/// to 3 s, its order and the news of it take half a one. Where loads take 1.2 s, 3 s ahead served most (1.5 s: mean
-/// worth of the days with trouble 0.730, 3 s: 0.736, three scores each); where they take 9 s, 9 s did (3 s: 0.598,
-/// 6 s: 0.587, 9 s: 0.623, two scores each).
+/// to 3 s, its order and the news of it take half a one.
 static constexpr double lookAhead = 2.0;
 /// Of a load from the weight store, the part that is looked ahead as well.
 static constexpr double lookAheadOfLoad = 0.8;
--- a/packages/gateway/unittests/replica_plan_test.cpp
+++ b/packages/gateway/unittests/replica_plan_test.cpp
@@ -111,8 +111,7 @@
     }
 }
 
-/// Demand that moves on while copies are being loaded: on a day of 60 VMs 50 of 174 loads were undone within 2 s of
-/// being there, 417 engine-seconds.
+/// Demand that moves on while copies are being loaded must not undo them as soon as they are there.
 TEST(replica_plan, whatHasJustBeenLoadedStaysWhileItIsAskedFor)
 {
     replica_world world(12, quiet(30, {20, 18}));
--- a/packages/gateway/unittests/target_pool_test.cpp
+++ b/packages/gateway/unittests/target_pool_test.cpp
@@ -272,8 +272,7 @@
     EXPECT_TRUE(pool.find(engine.id)->holds(model_id("m2"), {})) << "this news holds on";
 }
 
-/// An engine that crashed has nothing in flight, so it was everybody's first choice: 336 attempts of a day of 60 VMs met
-/// one that was gone, until its entry lapsed.
+/// An engine that crashed has nothing in flight, so it would be everybody's first choice until its entry lapses.
 TEST_F(target_pool_test, whoseHostRefusesIsNotChosenUntilItHadTimeToStart)
 {
     EXPECT_EQ(choose("n"), "far");
