Logs: log every finished configuration read and export the configuration age

When a configuration was applied late, the logs didn't show whether a waiting read had received no answer or an answer without the record. The new event configuration-read logs where the read was made, its outcome, the offset it started from, the number of records, how long it was allowed to wait and how long it took. The new metric fuchsialoom_configuration_age_milliseconds is the time since the last read.

--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -320,6 +320,15 @@
     }));
 }
 
+TEST_F(platform_test, configurationReadsAreLoggedAndTheAgeIsExported)
+{
+    startSmall();
+    EXPECT_TRUE(waitFor([&] {
+        return m_world.vm(m_vm).output().find("event=configuration-read at=store outcome=done from=1 records=0") != std::string::npos;
+    }));
+    EXPECT_NE(m_world.metricsOf(m_vm).find("fuchsialoom_configuration_age_milliseconds "), std::string::npos);
+}
+
 TEST_F(platform_test, aBadConfigurationChangesNothing)
 {
     startSmall();
