Red test: a configuration isn't in force while waiting reads stay unanswered

The store answers all other calls and keeps the connections of the waiting reads open without answering them.

--- a/tests/platform_fleet_test.cpp
+++ b/tests/platform_fleet_test.cpp
@@ -110,6 +110,22 @@
     EXPECT_LE(calls, 8U * 6U + 8U);
 }
 
+/// Guards against VMs that retry an unanswered read only when another VM has a newer version.
+TEST_F(platform_fleet_test, aConfigurationIsInForceThoughAllWaitingReadsAreUnanswered)
+{
+    const std::size_t discarded = m_world.call([&] {
+        return m_world.store().discardWaitingReads("keyed.op");
+    });
+    EXPECT_GE(discarded, 2U);
+    m_world.call([&] {
+        m_world.store().put("keyed.op", "config", R"({"version":2,"routes":[],"services":[],"limits":{}})");
+    });
+    std::this_thread::sleep_for(applyBound);
+    for (const std::string &vm : m_vms) {
+        EXPECT_EQ(askPlain(vm).status, 404) << vm;
+    }
+}
+
 TEST_F(platform_fleet_test, membersOfALostRelayHeedALeavingTarget)
 {
     const std::vector<std::string> served = members();
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -4,7 +4,9 @@
 
 #include <gtest/gtest.h>
 
+#include <chrono>
 #include <csignal>
+#include <thread>
 
 namespace fuchsialoom
 {
@@ -329,6 +331,23 @@
     EXPECT_NE(m_world.metricsOf(m_vm).find("fuchsialoom_configuration_age_milliseconds "), std::string::npos);
 }
 
+/// Guards against a late configuration when the store answers every call except the waiting read.
+TEST_F(platform_test, aConfigurationIsInForceThoughTheWaitingReadIsUnanswered)
+{
+    static constexpr std::chrono::milliseconds applyBound{2000};
+    startSmall();
+    ASSERT_TRUE(waitFor([&] {
+        return m_world.call([&] {
+            return m_world.store().discardWaitingReads("keyed.op");
+        }) > 0;
+    }));
+    m_world.call([&] {
+        m_world.store().put("keyed.op", "config", R"({"version":2,"routes":[],"services":[],"limits":{}})");
+    });
+    std::this_thread::sleep_for(applyBound);
+    EXPECT_EQ(m_world.ask(m_vm, plainRequest("/post/1", "after")).status, 404);
+}
+
 TEST_F(platform_test, aBadConfigurationChangesNothing)
 {
     startSmall();
