--- a/tests/platform_fleet_test.cpp
+++ b/tests/platform_fleet_test.cpp
@@ -91,6 +91,16 @@
     EXPECT_TRUE(heedless("p1").empty());
 }
 
+/// Guards against members that keep waiting for a relay whose own read is unanswered.
+TEST_F(platform_fleet_test, aLeavingTargetIsHeededThoughAllWaitingReadsAreUnanswered)
+{
+    const std::size_t discarded = m_world.call([&] {
+        return m_world.store().discardWaitingReads("keyed.servers");
+    });
+    EXPECT_GE(discarded, 2U);
+    EXPECT_TRUE(heedless("p1").empty());
+}
+
 TEST_F(platform_fleet_test, membersHaveAConfigurationInForceWithoutReadingTheStore)
 {
     const std::uint64_t before = m_world.call([&] {
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -378,6 +378,29 @@
     }
 }
 
+/// Guards against detecting a leaving target too late when the store answers every call except the waiting read.
+TEST_F(platform_test, aTargetThatLeavesGetsNothingNewThoughTheWaitingReadIsUnanswered)
+{
+    static constexpr std::chrono::milliseconds drainBound{2000};
+    startSmall();
+    m_world.addTarget({.id = "p2", .service = "plain", .isEngine = false});
+    ASSERT_TRUE(waitFor([&] {
+        return m_world.vm(m_vm).output().find("event=target-listed target=p2") != std::string::npos;
+    }));
+    ASSERT_TRUE(waitFor([&] {
+        return m_world.call([&] {
+            return m_world.store().discardWaitingReads("keyed.servers");
+        }) > 0;
+    }));
+    m_world.call([&] {
+        m_world.store().put("keyed.servers", "p1", m_world.target("p1").entry("draining"));
+    });
+    std::this_thread::sleep_for(drainBound);
+    for (int request = 0; request < 10; ++request) {
+        EXPECT_EQ(m_world.ask(m_vm, plainRequest("/post/1", "t" + std::to_string(request))).body, "answer of p2");
+    }
+}
+
 /// The holder of the duty is killed; its successor orders under a higher fence.
 TEST_F(platform_test, aKilledHolderIsReplaced)
 {
