Leader: account for open loads when placing models

A model in service whose memory is reserved by a load that never ends is unavailable until the leader that issued that load returns, and indefinitely if it doesn't. Cause: an order that was never answered, or never sent by its author, stays open in the memory ledger and keeps reserving memory on its target. The ledger is correct, because the load may still take effect at any time. However, first_fit_planner counted only its own placements, so it kept requesting the model on that target, where the ledger rejected it each time (no-room). planner_target.openBytes was passed in but never read. In the failed run, SIGSTOP stopped the leader between recording the intent of its load and sending it: its log has order-intended but no order-sent. After SIGCONT it logged never-sent, and the load of m3 on the same target followed at once. The test waited for the order to be open, which it is before it is sent, so it occasionally stopped the leader too early. Ruled out: a slow machine (the successor renewed its lease every 0.7 s throughout and had m3 in its settings); the ledger (an open load must count, see memory_ledger.h); e2 unknown to the successor (it loaded m4 there later). Change: the planner receives the open loads of each target. It places a model that isn't resident on a target only if it fits beside the open loads there that aren't part of the plan. Resident models stay. A model whose own load is open also stays on that target. Tests that failed before the change: leader_failure.aModelIsLoadedElsewhereWhileAnUnansweredLoadReservesMemory (90 s without m3 before; the whole test now takes 11 s) and three of the five new tests of first_fit_planner. The paused-leader test now waits until the engine stand-in has received the order (new count orders_received), so that it always exercises the intended case. It then waits for the delayed load to take effect, because m3 no longer waits for that load.

--- a/packages/core/include/fuchsialoom/core/memory_ledger.h
+++ b/packages/core/include/fuchsialoom/core/memory_ledger.h
@@ -138,6 +138,8 @@
     }
     /// Bytes that may be in use at once: resident, loading and every open load, each artifact once.
     std::uint64_t worstBytes() const;
+    /// Artifacts that open loads may still make resident, each listed once.
+    target_placement openLoads() const;
     std::uint64_t openBytes() const;
     std::uint64_t capacity() const;
     bool holds(const artifact &what) const;
--- a/packages/core/include/fuchsialoom/core/planner.h
+++ b/packages/core/include/fuchsialoom/core/planner.h
@@ -18,7 +18,7 @@
 {
     target_memory memory;
     target_placement resident;
-    std::uint64_t openBytes = 0; ///< of loads that may yet land: room that a plan can't count on
+    target_placement openLoads; ///< loads with an unknown outcome; they reserve memory until resolved
 };
 
 struct planner_input
--- a/packages/core/lib/memory_ledger.cpp
+++ b/packages/core/lib/memory_ledger.cpp
@@ -97,7 +97,7 @@
     return total;
 }
 
-std::uint64_t target_account::openBytes() const
+target_placement target_account::openLoads() const
 {
     std::map<artifact, std::uint64_t> bytes;
     for (const open_order &order : open) {
@@ -105,9 +105,26 @@
             count(bytes, artifactOf(order.intent), order.intent.bytes);
         }
     }
-    std::uint64_t total = 0;
+    target_placement loads;
     for (const auto &[what, size] : bytes) {
-        total += size;
+        if (what.adapter.empty()) {
+            loads.models.push_back(resident_model{what.model, what.version, size});
+        } else {
+            loads.adapters.push_back(resident_adapter{what.model, what.adapter, what.version, size});
+        }
+    }
+    return loads;
+}
+
+std::uint64_t target_account::openBytes() const
+{
+    const target_placement loads = openLoads();
+    std::uint64_t total = 0;
+    for (const resident_model &model : loads.models) {
+        total += model.bytes;
+    }
+    for (const resident_adapter &adapter : loads.adapters) {
+        total += adapter.bytes;
     }
     return total;
 }
--- a/packages/core/lib/planner.cpp
+++ b/packages/core/lib/planner.cpp
@@ -88,11 +88,39 @@
     target.content.models.push_back(resident_model{model.model, model.version, model.bytes});
 }
 
+bool isPlanned(const planned_target &target, const resident_model &load)
+{
+    return std::any_of(target.content.models.begin(), target.content.models.end(), [&](const resident_model &item) {
+        return item.model == load.model && item.version == load.version;
+    });
+}
+
+/// Bytes to reserve on \p target for open loads of anything other than \p candidate and the models planned there.
+std::uint64_t unplannedOpenBytes(const planned_target &target, const model_in_service &candidate)
+{
+    std::uint64_t bytes = 0;
+    for (const resident_model &load : target.target->openLoads.models) {
+        const bool isCandidate = load.model == candidate.model && load.version == candidate.version;
+        bytes += isCandidate || isPlanned(target, load) ? 0 : load.bytes;
+    }
+    for (const resident_adapter &load : target.target->openLoads.adapters) {
+        bytes += load.bytes;
+    }
+    return bytes;
+}
+
+/// Whether \p model fits on \p target. A resident model needs no load, so open loads don't count against it.
+bool hasRoom(const planned_target &target, const model_in_service &model, bool isResident)
+{
+    const std::uint64_t reserved = isResident ? 0 : unplannedOpenBytes(target, model);
+    return target.left >= reserved && target.left - reserved >= model.bytes;
+}
+
 std::uint32_t placeOn(std::vector<planned_target> &targets, const model_in_service &model, std::uint32_t copies, bool holders)
 {
     for (planned_target &target : targets) {
         const bool suits = holdsModel(*target.target, model.model) == holders && !hasPlanned(target, model.model);
-        if (copies > 0 && suits && target.left >= model.bytes) {
+        if (copies > 0 && suits && hasRoom(target, model, holders)) {
             place(target, model);
             --copies;
         }
--- a/packages/core/unittests/first_fit_planner_test.cpp
+++ b/packages/core/unittests/first_fit_planner_test.cpp
@@ -34,6 +34,12 @@
     return target;
 }
 
+static planner_target withOpenLoad(planner_target target, const std::string &model)
+{
+    target.openLoads.models.push_back(resident_model{model_id(model), version_id("1"), modelBytes});
+    return target;
+}
+
 static std::vector<std::string> modelsOn(const residency_goal &goal, const std::string &target)
 {
     std::vector<std::string> models;
@@ -77,3 +83,44 @@
     EXPECT_EQ(modelsOn(goal, "t"), std::vector<std::string>{"b"});
     EXPECT_TRUE(goal.inService.contains(model_id("b")));
 }
+
+TEST(first_fit_planner, placesAModelWhereOpenLoadsLeaveRoom)
+{
+    const planner_input input{{withOpenLoad(targetWith("t", 20, {"a"}), "gone"), targetWith("u", 20, {})}, {}, {}, {}};
+    const residency_goal goal = first_fit_planner().plan(treeWith({"a", "b"}), input);
+    EXPECT_EQ(modelsOn(goal, "t"), std::vector<std::string>{"a"});
+    EXPECT_EQ(modelsOn(goal, "u"), std::vector<std::string>{"b"});
+}
+
+TEST(first_fit_planner, keepsAModelWhereItsOwnLoadIsOpen)
+{
+    const planner_input input{{withOpenLoad(targetWith("t", 20, {"a"}), "b"), targetWith("u", 20, {})}, {}, {}, {}};
+    const residency_goal goal = first_fit_planner().plan(treeWith({"a", "b"}), input);
+    EXPECT_EQ(modelsOn(goal, "t"), (std::vector<std::string>{"a", "b"}));
+    EXPECT_EQ(modelsOn(goal, "u"), std::vector<std::string>{});
+}
+
+TEST(first_fit_planner, keepsResidentModelsDespiteAnOpenLoad)
+{
+    const planner_input input{{withOpenLoad(targetWith("t", 20, {"a", "b"}), "gone"), targetWith("u", 20, {})}, {}, {}, {}};
+    const residency_goal goal = first_fit_planner().plan(treeWith({"a", "b"}), input);
+    EXPECT_EQ(modelsOn(goal, "t"), (std::vector<std::string>{"a", "b"}));
+}
+
+TEST(first_fit_planner, reservesRoomForAnOpenLoadOfAnotherVersion)
+{
+    planner_target target = targetWith("t", 20, {"a"});
+    target.openLoads.models.push_back(resident_model{model_id("b"), version_id("old"), modelBytes});
+    const planner_input input{{target, targetWith("u", 20, {})}, {}, {}, {}};
+    const residency_goal goal = first_fit_planner().plan(treeWith({"a", "b"}), input);
+    EXPECT_EQ(modelsOn(goal, "u"), std::vector<std::string>{"b"});
+}
+
+TEST(first_fit_planner, reservesRoomForAnOpenLoadOfAnAdapter)
+{
+    planner_target target = targetWith("t", 20, {"a"});
+    target.openLoads.adapters.push_back(resident_adapter{model_id("a"), adapter_id("x"), version_id("1"), 1});
+    const planner_input input{{target, targetWith("u", 20, {})}, {}, {}, {}};
+    const residency_goal goal = first_fit_planner().plan(treeWith({"a", "b"}), input);
+    EXPECT_EQ(modelsOn(goal, "u"), std::vector<std::string>{"b"});
+}
--- a/packages/node/include/fuchsialoom/node/leader_status.h
+++ b/packages/node/include/fuchsialoom/node/leader_status.h
@@ -25,6 +25,7 @@
     bool reachable = false;
     bool lost = false; ///< hasn't answered for so long that its models belong elsewhere
     target_placement resident;
+    target_placement openLoads; ///< loads with an unknown outcome
 };
 
 struct leader_status
--- a/packages/node/lib/leader_planning.cpp
+++ b/packages/node/lib/leader_planning.cpp
@@ -276,7 +276,7 @@
     for (const target_status &target : now.targets) {
         if (target.capacityBytes > 0 && !target.lost) {
             const target_memory memory{target.target, target.capacityBytes, false, false};
-            targets.push_back(planner_target{memory, target.resident, target.openBytes});
+            targets.push_back(planner_target{memory, target.resident, target.openLoads});
         }
     }
     return targets;
--- a/packages/node/lib/leader_service.cpp
+++ b/packages/node/lib/leader_service.cpp
@@ -162,6 +162,7 @@
     target_status status;
     status.target = account.target.id;
     status.capacityBytes = account.capacity();
+    status.openLoads = account.openLoads();
     status.openBytes = account.openBytes();
     status.residentBytes = account.worstBytes() - status.openBytes;
     status.openOrders = account.open.size();
--- a/standins/engine.cpp
+++ b/standins/engine.cpp
@@ -10,6 +10,7 @@
 
 #include "fuchsialoom/support/errors.h"
 
+#include <atomic>
 #include <chrono>
 #include <map>
 #include <mutex>
@@ -70,6 +71,7 @@
         std::chrono::duration_cast<std::chrono::microseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
     engine_faults m_faults;
     engine_oracle m_oracle;
+    std::atomic<std::uint64_t> m_ordersReceived{0}; ///< well-formed orders, including those that a fault delays or drops
     engine_memory m_memory;
     engine_streams m_streams;
     engine_cache m_cache;
@@ -118,6 +120,7 @@
     });
     server.Get("/oracle", [this](const httplib::Request &, httplib::Response &to) {
         json oracle = m_memory.oracle();
+        oracle["orders_received"] = m_ordersReceived.load();
         oracle["ran"] = m_oracle.runs();
         oracle["wrong_continuations"] = m_oracle.wrongContinuations();
         answerJson(to, httpOk, oracle);
@@ -257,6 +260,7 @@
         to.status = httpBadRequest;
         return;
     }
+    ++m_ordersReceived;
     if (takeDrop()) {
         breakConnection(from);
         return;
--- a/tests/leader_failure_test.cpp
+++ b/tests/leader_failure_test.cpp
@@ -53,6 +53,11 @@
     return oracleOf(target.address).value("orders", json::array()).size();
 }
 
+static std::uint64_t ordersReceivedBy(const fleet_target &target)
+{
+    return oracleOf(target.address).value("orders_received", std::uint64_t{0});
+}
+
 static bool tookLoadOf(const fleet_target &target, const std::string &model)
 {
     const json orders = oracleOf(target.address).value("orders", json::array());
@@ -237,9 +242,14 @@
     put(inService("m1"));
     ASSERT_TRUE(waitResident({"m1"}));
     fleet_vm &first = *leader();
+    const std::uint64_t receivedBefore = ordersReceivedBy(engine);
     setFaults(engine.address, {{"delay_orders_ms", 8000}});
     put(inService("m2"));
     ASSERT_TRUE(waitForOrderUnderWay(first));
+    // An order is open before it is sent. Stopping the leader in between would leave it unsent.
+    ASSERT_TRUE(waitFor([&] {
+        return ordersReceivedBy(engine) > receivedBefore;
+    }));
     first.process->send(SIGSTOP);
     paused = &first;
     setFaults(engine.address, {{"delay_orders_ms", 0}});
@@ -251,7 +261,9 @@
     deployment.addEngine("e2", "local", emptyEngine());
     deployment.publish();
     EXPECT_TRUE(waitResident({"m1", "m3"}));
-    EXPECT_TRUE(tookLoadOf(engine, "m2")) << "the late order never landed";
+    EXPECT_TRUE(waitFor([&] {
+        return tookLoadOf(engine, "m2");
+    })) << "the engine never applied the delayed load of m2";
     first.process->send(SIGCONT);
     paused = nullptr;
     put(inService("m4"));
@@ -259,6 +271,30 @@
     EXPECT_EQ(overcommitted(), "");
 }
 
+/// Guards against planning a load that doesn't fit beside an unanswered one while another target has room.
+TEST_F(leader_failure, aModelIsLoadedElsewhereWhileAnUnansweredLoadReservesMemory)
+{
+    fleet_target &engine = deployment.addEngine("e1", "local", emptyEngine());
+    startVms();
+    put(inService("m1"));
+    ASSERT_TRUE(waitResident({"m1"}));
+    const std::uint64_t receivedBefore = ordersReceivedBy(engine);
+    setFaults(engine.address, {{"drop_orders", 1}});
+    put(inService("m2"));
+    ASSERT_TRUE(waitFor([&] {
+        return ordersReceivedBy(engine) > receivedBefore;
+    }));
+    std::vector<setting_word> words = inService("m2", false);
+    const std::vector<setting_word> more = inService("m3");
+    words.insert(words.end(), more.begin(), more.end());
+    put(words);
+    deployment.addEngine("e2", "local", emptyEngine());
+    deployment.publish();
+    EXPECT_TRUE(waitResident({"m1", "m3"}));
+    EXPECT_FALSE(tookLoadOf(engine, "m2"));
+    EXPECT_EQ(overcommitted(), "");
+}
+
 TEST_F(leader_failure, anOutageWithTheLeaderKilledRepairsCheckingTargetsAndFreezesOthers)
 {
     fleet_target &checking = deployment.addEngine("e1", "local", checkingEngine());
