Engine orders: check the lease again before writing to a new connection

Cause, found by reading the code: an order is decided while the lease is valid according to the clock that includes suspension. On a new connection, the order is written only once the connection is established, up to 250 ms later by the monotonic clock, which does not advance while the whole VM is suspended. A VM that was suspended for seconds in between therefore wrote its order after its lease had ended, when another VM could already have sent orders. Ruled out: a frozen process, because its monotonic clock keeps advancing (http_link compares the connect deadline with the clock before it writes); an order on a reused connection, which is written in the same call in which the lease is checked. If it returns false, the exchange fails as withdrawn and nothing is sent. The duty decides by its suspended clock and by the fence under which the order was decided.

--- a/packages/gateway/include/fuchsialoom/gateway/residency_duty.h
+++ b/packages/gateway/include/fuchsialoom/gateway/residency_duty.h
@@ -70,6 +70,12 @@
     /// The fence under which this VM orders, while it holds the lease.
     std::optional<std::uint64_t> fence() const;
 
+    /// Whether this VM still holds the lease with \p fence and may send orders, by the clock that includes suspension.
+    bool mayOrder(std::uint64_t fence) const
+    {
+        return m_lease.mayOrder(clock()) && m_lease.fence() == fence;
+    }
+
     /// What this VM has to tell of a term of its own that ended.
     std::optional<renounced_fence> renounced() const
     {
--- a/packages/http/include/fuchsialoom/http/http_link.h
+++ b/packages/http/include/fuchsialoom/http/http_link.h
@@ -23,6 +23,7 @@
     Refused, ///< the host answered that nobody listens: nothing was sent
     NoConnection, ///< there was none for another reason: nothing was sent
     ConnectTimeout, ///< likewise
+    Withdrawn, ///< mayWrite returned false after connecting: nothing was sent
     Reset, ///< the connection ended before the answer was whole
     Malformed, ///< what came is no answer
     WrongAnswer, ///< answers to other requests came instead
@@ -35,6 +36,7 @@
         {link_failure::Refused, "refused"},
         {link_failure::NoConnection, "no-connection"},
         {link_failure::ConnectTimeout, "connect-timeout"},
+        {link_failure::Withdrawn, "withdrawn"},
         {link_failure::Reset, "reset"},
         {link_failure::Malformed, "malformed"},
         {link_failure::WrongAnswer, "wrong-answer"},
@@ -51,6 +53,9 @@
     std::function<void(link_failure, bool sent)> onFailure;
     /// Whether a head answers this request; an answer that doesn't is read and dropped.
     std::function<bool(const answer_head &)> isMine;
+    /// Optional. Called once a new connection is established, right before the request is written to it. If it returns
+    /// false, the request fails with Withdrawn. Not called when a connection is reused.
+    std::function<bool()> mayWrite;
 };
 
 class http_link : public std::enable_shared_from_this<http_link>
--- a/packages/http/lib/http_link.cpp
+++ b/packages/http/lib/http_link.cpp
@@ -83,6 +83,10 @@
         fail(link_failure::ConnectTimeout);
         return;
     }
+    if (m_events.mayWrite && !m_events.mayWrite()) {
+        fail(link_failure::Withdrawn);
+        return;
+    }
     m_connected = true;
     asio::error_code ignored; // options only tune the connection; it works without them
     m_socket.set_option(asio::ip::tcp::no_delay(true), ignored);
