Gateway: the line of a broken attempt names the request's fingerprint

The lines of an attempt name only the caller's id, which is new each time, so nothing connects the attempts of one request, and a request that ends its targets can't be told from one that was there by chance.

--- a/packages/gateway/lib/exchange.cpp
+++ b/packages/gateway/lib/exchange.cpp
@@ -3,6 +3,7 @@
 /// exchange_attempts.cpp implements its attempts.
 #include "exchange.h"
 
+#include "fuchsialoom/gateway/request_fingerprint.h"
 #include "fuchsialoom/support/errors.h"
 
 #include <algorithm>
@@ -117,6 +118,23 @@
     m_history.attempts = std::max(1U, m_route.attempts);
 }
 
+content_hash exchange::fingerprint() const
+{
+    if (!m_fingerprint) {
+        m_fingerprint = fingerprintOf(m_request, callerName());
+    }
+    return *m_fingerprint;
+}
+
+std::string exchange::callerName() const
+{
+    if (m_team && !m_team->empty()) {
+        return m_team->text();
+    }
+    const credential presented = m_gateway.m_dialect.readCredential(m_request);
+    return presented.problem == key_problem::None ? std::to_string(presented.key.prefix()) : std::string();
+}
+
 queued_request exchange::queueEntry() const
 {
     queued_request entry;
--- a/packages/gateway/lib/exchange.h
+++ b/packages/gateway/lib/exchange.h
@@ -52,6 +52,8 @@
     {
         return m_serial;
     }
+    /// See fingerprintOf(); computed on the first call.
+    content_hash fingerprint() const;
     bool isDone() const
     {
         return m_done;
@@ -80,6 +82,8 @@
     bool chargeTeam();
     /// Gives the cost back, since the request hasn't run.
     void refundTeam();
+    /// The team, else the key that was presented; empty if there is neither.
+    std::string callerName() const;
     /// Answers a request that the configuration doesn't allow with \p status.
     void deny(int status, header_list headers, log_line line);
     void resolveRoute();
@@ -121,6 +125,7 @@
     std::uint64_t m_configVersion = 0;
     std::optional<team_id> m_team; ///< set if the configuration has teams; empty: none, on a public route
     std::uint64_t m_cost = 0; ///< spent of the team's quota
+    mutable std::optional<content_hash> m_fingerprint; ///< set by fingerprint()
     instant m_arrivedAt;
     microseconds m_queueTime{0}; ///< from the arrival to the first attempt
     request_deadlines m_deadlines{};
--- a/packages/gateway/lib/exchange_attempts.cpp
+++ b/packages/gateway/lib/exchange_attempts.cpp
@@ -2,6 +2,8 @@
 /// The attempts of one request: sending it, relaying the answer, and retrying or failing after an attempt.
 #include "exchange.h"
 
+#include "fuchsialoom/gateway/request_fingerprint.h"
+
 #include <algorithm>
 #include <cassert>
 
@@ -266,6 +268,7 @@
                                      .with("how", how)
                                      .with("head", m_attempt->headReceived ? "yes" : "no")
                                      .with("events", m_eventScanner.count())
+                                     .with("fingerprint", textOf(fingerprint()))
                                      .with("after-ms", std::chrono::duration_cast<milliseconds>(now - m_attempt->sentAt)));
     if (how == link_failure::Refused) {
         m_gateway.noteUnreachable(m_attempt->target);
--- a/packages/support/include/fuchsialoom/support/digest.h
+++ b/packages/support/include/fuchsialoom/support/digest.h
@@ -25,6 +25,9 @@
     /// The first bytes in hexadecimal: enough to tell secrets apart in a log, too little to find one by its digest.
     std::string shortText() const;
 
+    /// The first bytes as a number, the highest byte first.
+    std::uint64_t prefix() const;
+
     friend auto operator<=>(const sha256_digest &, const sha256_digest &) = default;
 
 private:
--- a/packages/support/lib/digest.cpp
+++ b/packages/support/lib/digest.cpp
@@ -22,6 +22,15 @@
     return text;
 }
 
+std::uint64_t sha256_digest::prefix() const
+{
+    std::uint64_t number = 0;
+    for (std::size_t at = 0; at < sizeof number; ++at) {
+        number = number << 8 | m_bytes[at];
+    }
+    return number;
+}
+
 sha256_digest sha256Of(std::string_view bytes)
 {
     std::array<std::uint8_t, sha256_digest::size> result{};
