Requests that crash their targets are quarantined over all VMs

Callers saw 502 and broken streams: a request that ends each target which runs it was sent on from target to target, by its caller's attempts at any VM and by the VM's own second attempts, and took the other streams there with it. Cause: nothing on the platform's path connected the end of a target with the requests on it; the quarantine of packages/core served the own interface alone.

Each VM now reports the requests that had not yet begun to run (no event, or the first within 100 ms) when their connection was reset and the target's host then refuses a connection. The reports of all VMs go over the fleet's messages, each item in four of them, and again to VMs that are newly heard: after a start, and after a cut. 0.5 s after each death `crash_evidence` weighs the reports; core's `quarantine`, which now takes the number of deaths and the chance that is accepted as rules, decides: three deaths, and at most 1e-5 that chance explains them. The chance at a death is the share of targets that died around it without the request, at least 0.01, so waves of crashes accuse nobody. A run that ends clears the request at every VM. A quarantined request is refused at once with 503 and the time left, also one that waits in the queue; one that may have run gets 502. All tables are bounded.

--- a/packages/core/include/fuchsialoom/core/quarantine.h
+++ b/packages/core/include/fuchsialoom/core/quarantine.h
@@ -22,23 +22,40 @@
     instant forgetAt;
 };
 
+/// When a fingerprint is quarantined, and what is remembered.
+struct quarantine_rules
+{
+    milliseconds length{0}; ///< of a quarantine
+    milliseconds memory{0}; ///< how long an accusation counts after the latest one
+    std::size_t deaths = 2; ///< target processes that died with the fingerprint on them
+    /// Upper bound of the probability that all of these deaths had the fingerprint on them by chance.
+    double maxChance = 1;
+};
+
 class quarantine
 {
 public:
+    explicit quarantine(quarantine_rules rules);
+    /// Two deaths suffice, and count for as long as a quarantine lasts.
     explicit quarantine(milliseconds length);
 
     /// Holds for what is quarantined from now on.
     void setLength(milliseconds length)
     {
-        m_length = length;
+        m_rules.length = length;
+        m_rules.memory = length;
     }
 
     /// The target process died with \p fingerprint on it. Each process counts once. Those that were
     /// \p leaving count as one together: an exit that cuts off what still runs there looks like a crash, and
-    /// targets leave in numbers.
+    /// targets leave in numbers. \p chance: probability that a request which is no cause of this death was on the process.
     /// \return the end of the quarantine when this accusation starts or prolongs one.
-    std::optional<instant>
-    accuse(instant now, content_hash fingerprint, const target_id &target, incarnation_number incarnation, bool leaving = false);
+    std::optional<instant> accuse(instant now,
+                                  content_hash fingerprint,
+                                  const target_id &target,
+                                  incarnation_number incarnation,
+                                  bool leaving = false,
+                                  double chance = 1);
 
     /// Merges a quarantine that another VM started: the later end holds. \return whether it was news.
     bool learn(instant now, content_hash fingerprint, instant until);
@@ -56,6 +73,12 @@
     /// The end of the quarantine, or nothing.
     std::optional<instant> until(instant now, content_hash fingerprint) const;
 
+    /// The ends of all quarantines.
+    const std::map<content_hash, instant> &ends() const
+    {
+        return m_until;
+    }
+
     /// Remembers an attempt, in case its target turns out to be dead.
     void remember(instant now, broken_attempt attempt);
 
@@ -74,6 +97,7 @@
         target_id target;
         incarnation_number incarnation;
         bool leaving = false; ///< as any of its accusers saw it
+        double chance = 1; ///< as its first accuser estimated it
     };
 
     struct charge
@@ -83,12 +107,13 @@
         instant forgetAt;
 
         std::size_t count() const;
+        double chance() const;
     };
 
-    milliseconds m_length;
-    std::map<content_hash, charge> m_charges;
-    std::map<content_hash, instant> m_until;
-    std::vector<broken_attempt> m_broken;
+    quarantine_rules m_rules;
+    std::map<content_hash, charge> m_charges; ///< bounded: the one that is forgotten first makes room
+    std::map<content_hash, instant> m_until; ///< bounded: the one that ends first makes room
+    std::vector<broken_attempt> m_broken; ///< oldest first; bounded
 };
 
 } // namespace fuchsialoom
--- a/packages/core/lib/quarantine.cpp
+++ b/packages/core/lib/quarantine.cpp
@@ -7,13 +7,32 @@
 namespace fuchsialoom
 {
 
-static constexpr std::size_t targetsToQuarantine = 2;
 /// A target that died is found dead within this time after its connections broke.
 static constexpr seconds brokenMemory{30};
+/// Bounds on memory, in case somebody sends many requests that kill targets.
+static constexpr std::size_t maxFingerprints = 4096;
+static constexpr std::size_t maxBroken = 4096;
+
+quarantine::quarantine(quarantine_rules rules)
+    : m_rules(rules)
+{
+}
 
 quarantine::quarantine(milliseconds length)
-    : m_length(length)
+    : quarantine(quarantine_rules{length, length})
+{
+}
+
+/// Erases the entry with the earliest time of a full \p map, unless \p key is in it.
+template<typename Map, typename TimeOf>
+static void makeRoom(Map &map, content_hash key, TimeOf timeOf)
 {
+    if (map.size() < maxFingerprints || map.contains(key)) {
+        return;
+    }
+    map.erase(std::ranges::min_element(map, {}, [&timeOf](const auto &entry) {
+        return timeOf(entry.second);
+    }));
 }
 
 std::size_t quarantine::charge::count() const
@@ -24,11 +43,27 @@
     return died.size() - leaving + std::min<std::size_t>(leaving, 1);
 }
 
-std::optional<instant>
-quarantine::accuse(instant now, content_hash fingerprint, const target_id &target, incarnation_number incarnation, bool leaving)
+double quarantine::charge::chance() const
 {
+    double product = 1;
+    for (const target_process &one : died) {
+        product *= one.chance;
+    }
+    return product;
+}
+
+std::optional<instant> quarantine::accuse(instant now,
+                                          content_hash fingerprint,
+                                          const target_id &target,
+                                          incarnation_number incarnation,
+                                          bool leaving,
+                                          double chance)
+{
+    makeRoom(m_charges, fingerprint, [](const charge &one) {
+        return one.forgetAt;
+    });
     charge &against = m_charges[fingerprint];
-    against.forgetAt = now + m_length;
+    against.forgetAt = now + m_rules.memory;
     const auto known = std::find_if(against.died.begin(), against.died.end(), [&](const target_process &one) {
         return one.target == target && one.incarnation == incarnation;
     });
@@ -36,8 +71,9 @@
         known->leaving = known->leaving || leaving;
         return std::nullopt;
     }
-    against.died.push_back(target_process{target, incarnation, leaving});
-    if (against.count() < targetsToQuarantine || !learn(now, fingerprint, now + m_length)) {
+    against.died.push_back(target_process{target, incarnation, leaving, chance});
+    const bool isGuilty = against.count() >= m_rules.deaths && against.chance() <= m_rules.maxChance;
+    if (!isGuilty || !learn(now, fingerprint, now + m_rules.length)) {
         return std::nullopt;
     }
     return m_until[fingerprint];
@@ -48,6 +84,9 @@
     if (until <= now) {
         return false;
     }
+    makeRoom(m_until, fingerprint, [](instant end) {
+        return end;
+    });
     instant &known = m_until[fingerprint];
     if (until <= known) {
         return false;
@@ -90,6 +129,9 @@
 void quarantine::remember(instant now, broken_attempt attempt)
 {
     attempt.forgetAt = now + brokenMemory;
+    if (m_broken.size() >= maxBroken) {
+        m_broken.erase(m_broken.begin());
+    }
     m_broken.push_back(std::move(attempt));
 }
 
--- a/packages/core/unittests/quarantine_test.cpp
+++ b/packages/core/unittests/quarantine_test.cpp
@@ -74,3 +74,36 @@
     all.expire(start + seconds(60));
     EXPECT_TRUE(all.takeBroken(a, first).empty());
 }
+
+TEST(quarantine, chanceHasToBeRuledOut)
+{
+    quarantine all{quarantine_rules{seconds(10), seconds(60), 3, 1e-5}};
+    all.accuse(start, poison, a, first, false, 0.25);
+    all.accuse(start, poison, a, second, false, 0.01);
+    EXPECT_FALSE(all.accuse(start, poison, b, first, false, 0.01)) << "2.5e-5";
+    EXPECT_TRUE(all.accuse(start, poison, b, second, false, 0.01));
+}
+
+TEST(quarantine, oneDeathAfterAQuarantineStartsTheNextWhileTheEarlierOnesAreRemembered)
+{
+    quarantine all{quarantine_rules{seconds(10), seconds(60), 2, 1}};
+    all.accuse(start, poison, a, first);
+    all.accuse(start, poison, b, first);
+    all.expire(start + seconds(10));
+    EXPECT_FALSE(all.until(start + seconds(10), poison));
+    EXPECT_TRUE(all.accuse(start + seconds(11), poison, a, second));
+}
+
+TEST(quarantine, memoryIsBoundedAndTheLatestAreKept)
+{
+    quarantine all{seconds(100000)};
+    for (std::uint64_t made = 1; made <= 10000; ++made) {
+        const instant now = start + milliseconds(made);
+        all.accuse(now, content_hash(made), a, first);
+        all.accuse(now, content_hash(made), b, first);
+        all.remember(now, {request_id(std::to_string(made)), content_hash(made), a, first, {}});
+    }
+    EXPECT_LE(all.ends().size(), 4096U);
+    EXPECT_TRUE(all.until(start + seconds(20), content_hash(10000)));
+    EXPECT_LE(all.takeBroken(a, first).size(), 4096U);
+}
--- a/packages/fleet/include/fuchsialoom/fleet/fleet_node.h
+++ b/packages/fleet/include/fuchsialoom/fleet/fleet_node.h
@@ -65,6 +65,8 @@
     std::function<void(const vm_id &vm, std::uint64_t version)> onConfigVersion;
     std::function<void(std::size_t live)> onLiveVms; ///< in the fleet, including this one
     std::function<void(fleet_change change, const vm_id &vm)> onChange;
+    std::function<crash_news(const crash_news &news)> onCrashNews; ///< \return the part that this VM didn't know
+    std::function<crash_news()> knownCrashes; ///< everything that a VM which knows nothing has to hear
 };
 
 /// Datagrams to send now.
@@ -112,6 +114,8 @@
     void broadcastAdapterRequest(instant now, const adapter_request &adapterRequest);
     /// What is resident at targets changed.
     void broadcastResidencyChanges(instant now, const std::vector<residency_change> &residencyChanges);
+    /// Tells every VM of crashed targets and quarantines that this VM found.
+    void broadcastCrashNews(instant now, const crash_news &news);
     /// Schedules an early digest, since something else in it changed that other VMs wait for.
     void scheduleEarlyDigest(instant now);
     /// @}
@@ -183,6 +187,9 @@
     void removeSource(const vm_id &source);
     void updateHolder(instant now, const std::optional<holder_announcement> &holder, bool fromMember);
     void applyResidencyChanges(instant now, const std::vector<residency_change> &residencyChanges, bool fromMember);
+    void applyCrashNews(instant now, const crash_news &news, bool fromMember);
+    /// Repeats everything that this VM knows, for a VM that was just heard and may know nothing of it.
+    void repeatCrashNews(instant now);
     void withdrawOpposite(const residency_change &residencyChange);
     void updateRole(instant now);
     void expire(instant now);
@@ -224,6 +231,7 @@
     std::map<residency_change, instant> m_changesForMembers; ///< from other relays, to forward to members only, with the start time
     std::vector<residency_change> m_unsentChanges; ///< of m_residencyChanges, not yet sent in a delta
     std::vector<residency_change> m_unsentChangesForMembers;
+    crash_outbox m_crashNews;
     std::optional<known_holder> m_holder; ///< if it is another VM
     bool m_wasRelay = true;
     bool m_holdsDuty = false; ///< as of the latest digest; a holder stays a relay, since it needs the messages of all relays
--- a/packages/fleet/include/fuchsialoom/fleet/messages.h
+++ b/packages/fleet/include/fuchsialoom/fleet/messages.h
@@ -7,6 +7,7 @@
 #pragma once
 
 #include "fuchsialoom/core/targets.h"
+#include "fuchsialoom/fleet/crash_news.h"
 #include "fuchsialoom/fleet/in_flight.h"
 #include "fuchsialoom/fleet/team_quotas.h"
 #include "fuchsialoom/support/time.h"
@@ -108,6 +109,7 @@
     std::vector<residency_change> residencyChanges;
     std::vector<endpoint> relays; ///< other live relays known to the sender, for discovery
     std::vector<team_spending> spending; ///< by the VMs that this digest covers
+    crash_news crashes;
 
     friend bool operator==(const peer_digest &, const peer_digest &) = default;
 };
@@ -120,6 +122,7 @@
     std::vector<adapter_request> adapterRequests;
     std::vector<residency_change> residencyChanges;
     std::vector<team_spending> spending; ///< that can't wait for the next digest
+    crash_news crashes;
 
     friend bool operator==(const delta_message &, const delta_message &) = default;
 };
@@ -139,6 +142,7 @@
     in_flight_counts inFlight; ///< totals of all VMs, including the receiver
     std::vector<team_balance> balances; ///< of all teams in full updates, else of those with little credit left
     double reach = 1; ///< fraction of the fleet that the relay can reach
+    crash_news crashes;
 
     friend bool operator==(const relay_update &, const relay_update &) = default;
 };
--- a/packages/fleet/lib/fleet_node.cpp
+++ b/packages/fleet/lib/fleet_node.cpp
@@ -159,8 +159,10 @@
         m_events.onAdapterRequest(adapterRequest);
     }
     applyResidencyChanges(now, digest.residencyChanges, true);
+    applyCrashNews(now, digest.crashes, true);
     if (isNew) {
         m_events.onChange(fleet_change::MemberJoined, vm);
+        repeatCrashNews(now);
         scheduleEarlyDigest(now);
     }
     updateLiveVms(now);
@@ -181,6 +183,7 @@
     peer_state &peer = found->second;
     if (isNew || !peer.live) {
         m_events.onChange(fleet_change::RelayHeard, vm);
+        repeatCrashNews(now);
         if (isNew) {
             scheduleEarlyDigest(now);
         }
@@ -197,6 +200,7 @@
         m_events.onAdapterRequest(adapterRequest);
     }
     applyResidencyChanges(now, digest.residencyChanges, false);
+    applyCrashNews(now, digest.crashes, false);
     for (const endpoint &relay : digest.relays) {
         if (relay != m_self.address && m_seeds.size() < maxKnownSenders) {
             instant &until = m_seeds[relay];
@@ -234,6 +238,7 @@
         m_events.onAdapterRequest(adapterRequest);
     }
     applyResidencyChanges(now, delta.residencyChanges, isMember);
+    applyCrashNews(now, delta.crashes, isMember);
 }
 
 void fleet_node::onRelayUpdate(instant now, const member_update &update)
@@ -276,6 +281,7 @@
     m_events.onConfigVersion(relay, message.configVersion);
     updateHolder(now, message.holder, false);
     applyResidencyChanges(now, message.residencyChanges, false);
+    applyCrashNews(now, message.crashes, false);
     m_liveVms = std::max<std::uint32_t>(1, message.liveVms);
     m_events.onLiveVms(m_liveVms);
 }
@@ -318,6 +324,28 @@
     }
 }
 
+void fleet_node::applyCrashNews(instant now, const crash_news &news, bool fromMember)
+{
+    if (news.isEmpty()) {
+        return;
+    }
+    const crash_news unknown = m_events.onCrashNews(news);
+    if (unknown.isEmpty()) {
+        return;
+    }
+    m_crashNews.add(now, unknown, fromMember);
+    scheduleDelta(now);
+}
+
+void fleet_node::repeatCrashNews(instant now)
+{
+    const crash_news known = m_events.knownCrashes();
+    if (!known.isEmpty()) {
+        m_crashNews.add(now, known, true);
+        scheduleDelta(now);
+    }
+}
+
 void fleet_node::updateRole(instant now)
 {
     const std::optional<vm_id> before = m_relaySelection.relay();
@@ -352,6 +380,7 @@
     }
     if (m_relaySelection.relay() && m_relaySelection.relay() != before) {
         m_events.onChange(fleet_change::RelayChosen, *m_relaySelection.relay());
+        repeatCrashNews(now);
         scheduleEarlyDigest(now);
     }
 }
--- a/packages/fleet/lib/fleet_sending.cpp
+++ b/packages/fleet/lib/fleet_sending.cpp
@@ -64,6 +64,12 @@
     scheduleDelta(now);
 }
 
+void fleet_node::broadcastCrashNews(instant now, const crash_news &news)
+{
+    m_crashNews.add(now, news, true);
+    scheduleDelta(now);
+}
+
 instant fleet_node::nextAt() const
 {
     const instant heartbeatAt = m_relaySelection.isRelay() ? m_lastDeltaAt + pacing::heartbeatInterval : farFuture;
@@ -207,6 +213,10 @@
     m_unsentAdapterRequests.clear();
     m_unsentChanges.clear();
     m_unsentChangesForMembers.clear();
+    if (m_members.empty()) {
+        m_crashNews.discard(crash_outbox::channel::Members);
+    }
+    digest.crashes = m_crashNews.take(now, crash_outbox::channel::Relays, false);
     if (!m_relaySelection.isRelay()) {
         digest.origin = nextOrigin();
         digest.request = relay_request::Relay;
@@ -226,6 +236,7 @@
         for (const residency_change &one : keysOf(m_changesForMembers)) {
             toMembers.message.residencyChanges.push_back(one);
         }
+        toMembers.message.crashes = m_crashNews.take(now, crash_outbox::channel::Members, false);
         for (const vm_record &one : liveRelays()) {
             if (one.domain == m_self.domain) {
                 toMembers.message.relays.push_back(one.vm);
@@ -260,8 +271,9 @@
         delta.adapterRequests = std::exchange(m_unsentAdapterRequests, {});
         delta.residencyChanges = std::exchange(m_unsentChanges, {});
         delta.spending = m_quotas.takeUrgentSpending(now);
-        const bool isEmpty =
-            delta.changed.empty() && delta.adapterRequests.empty() && delta.residencyChanges.empty() && delta.spending.empty();
+        delta.crashes = m_crashNews.take(now, crash_outbox::channel::Relays, true);
+        const bool isEmpty = delta.changed.empty() && delta.adapterRequests.empty() && delta.residencyChanges.empty()
+            && delta.spending.empty() && delta.crashes.isEmpty();
         if (relay && !isEmpty) {
             delta.origin = nextOrigin();
             out.deltas.push_back({std::move(delta), {relay->address}});
@@ -273,10 +285,14 @@
     in_flight_counts changed = m_fleetInFlight.takeChanged();
     std::vector<residency_change> changesForMembers = std::exchange(m_unsentChangesForMembers, {});
     std::vector<team_balance> tight = m_members.empty() ? std::vector<team_balance>() : m_quotas.balances(now, true);
-    if (!m_members.empty() && (!changed.empty() || !changesForMembers.empty() || !m_unsentChanges.empty() || !tight.empty())) {
+    crash_news crashesForMembers = m_members.empty() ? crash_news() : m_crashNews.take(now, crash_outbox::channel::Members, true);
+    const bool hasNewsForMembers =
+        !changed.empty() || !changesForMembers.empty() || !m_unsentChanges.empty() || !tight.empty() || !crashesForMembers.isEmpty();
+    if (!m_members.empty() && hasNewsForMembers) {
         fleet_outbox::outgoing_relay_update toMembers = makeRelayUpdate(now, false, std::move(changed), std::move(tight));
         toMembers.message.residencyChanges = std::move(changesForMembers);
         toMembers.message.residencyChanges.insert(toMembers.message.residencyChanges.end(), m_unsentChanges.begin(), m_unsentChanges.end());
+        toMembers.message.crashes = std::move(crashesForMembers);
         out.relayUpdates.push_back(std::move(toMembers));
     }
     delta_message delta;
@@ -285,6 +301,7 @@
     delta.adapterRequests = std::exchange(m_unsentAdapterRequests, {});
     delta.residencyChanges = std::exchange(m_unsentChanges, {});
     delta.spending = m_quotaExchange.takeUrgentGroupSpending(now);
+    delta.crashes = m_crashNews.take(now, crash_outbox::channel::Relays, true);
     out.deltas.push_back({std::move(delta), m_relayAddresses}); // serves as a heartbeat if it is empty
 }
 
--- a/packages/fleet/lib/messages.cpp
+++ b/packages/fleet/lib/messages.cpp
@@ -30,6 +30,8 @@
 /// Upper bounds of valid durations.
 constexpr milliseconds maxAnnouncedInterval{10'000};
 constexpr milliseconds maxOrderWait{60'000};
+/// Longest quarantine that is accepted from a peer, and the oldest death.
+constexpr milliseconds maxQuarantine{24 * 3600 * 1000};
 /// Bound on nested arrays, since the parser uses stack space for each level.
 constexpr int maxNestingDepth = 8;
 
@@ -240,6 +242,42 @@
     return {team_id(one.at(0).get<std::string>()), std::clamp(one.at(1).get<std::int64_t>(), -maxCost, maxCost)};
 }
 
+json encodeCrashReport(const crash_report &one)
+{
+    return json::array({one.fingerprint.value(), one.target.text(), one.isAcquitted, one.age.count()});
+}
+
+crash_report decodeCrashReport(const json &one)
+{
+    return {content_hash(one.at(0).get<std::uint64_t>()),
+            target_id(one.at(1).get<std::string>()),
+            one.at(2).get<bool>(),
+            decodeTime(one.at(3), maxQuarantine)};
+}
+
+json encodeQuarantine(const quarantine_report &one)
+{
+    return json::array({one.fingerprint.value(), one.left.count()});
+}
+
+quarantine_report decodeQuarantine(const json &one)
+{
+    return {content_hash(one.at(0).get<std::uint64_t>()), decodeTime(one.at(1), maxQuarantine)};
+}
+
+json encodeCrashNews(const crash_news &news)
+{
+    return json::array({encodeList(news.reports, encodeCrashReport), encodeList(news.quarantines, encodeQuarantine)});
+}
+
+crash_news decodeCrashNews(const json &one)
+{
+    if (one.is_null()) {
+        return {};
+    }
+    return {decodeList<crash_report>(one.at(0), decodeCrashReport), decodeList<quarantine_report>(one.at(1), decodeQuarantine)};
+}
+
 peer_digest decodeDigest(const json &fields)
 {
     field_reader read(fields);
@@ -260,6 +298,7 @@
         return parseEndpoint(one.get<std::string>());
     });
     digest.spending = decodeList<team_spending>(read.nextOptional(), decodeSpending);
+    digest.crashes = decodeCrashNews(read.nextOptional());
     return digest;
 }
 
@@ -272,6 +311,7 @@
     delta.adapterRequests = decodeList<adapter_request>(read.next(), decodeAdapterRequest);
     delta.residencyChanges = decodeList<residency_change>(read.next(), decodeResidencyChange);
     delta.spending = decodeList<team_spending>(read.nextOptional(), decodeSpending);
+    delta.crashes = decodeCrashNews(read.nextOptional());
     return delta;
 }
 
@@ -295,6 +335,7 @@
     message.balances = decodeList<team_balance>(read.nextOptional(), decodeBalance);
     const json &reach = read.nextOptional();
     message.reach = reach.is_number() ? std::clamp(reach.get<double>(), 0.0, 1.0) : 1.0;
+    message.crashes = decodeCrashNews(read.nextOptional());
     return message;
 }
 
@@ -336,7 +377,8 @@
                                           [](const endpoint &one) {
                                               return json(toText(one));
                                           }),
-                               encodeList(digest.spending, encodeSpending)}));
+                               encodeList(digest.spending, encodeSpending),
+                               encodeCrashNews(digest.crashes)}));
 }
 
 std::string encodeDelta(const delta_message &delta)
@@ -346,7 +388,8 @@
                                encodeInFlight(delta.changed),
                                encodeList(delta.adapterRequests, encodeAdapterRequest),
                                encodeList(delta.residencyChanges, encodeResidencyChange),
-                               encodeList(delta.spending, encodeSpending)}));
+                               encodeList(delta.spending, encodeSpending),
+                               encodeCrashNews(delta.crashes)}));
 }
 
 std::string encodeRelayUpdate(const relay_update &message)
@@ -366,7 +409,8 @@
                                           }),
                                encodeInFlight(message.inFlight),
                                encodeList(message.balances, encodeBalance),
-                               message.reach}));
+                               message.reach,
+                               encodeCrashNews(message.crashes)}));
 }
 
 std::string encodeMemberUpdate(const std::string &encodedUpdate, const receiver_part &receiver)
--- a/packages/fleet/unittests/messages_test.cpp
+++ b/packages/fleet/unittests/messages_test.cpp
@@ -27,6 +27,8 @@
     digest.residencyChanges = {{target_id("e1"), model_id("m"), adapter_id("a3"), false}};
     digest.relays = {{"10.0.0.1", 7380}};
     digest.spending = {{team_id("t1"), 123456789012}, {team_id("t2"), -5}};
+    digest.crashes = {{{content_hash(0xfedcba9876543210), target_id("e1"), true, milliseconds(1500)}},
+                      {{content_hash(9), milliseconds(600000)}}};
     return digest;
 }
 
@@ -44,6 +46,7 @@
     update.message.inFlight = {{target_id("e1"), {12, 9000}}};
     update.message.balances = {{team_id("t1"), -4200}, {team_id("t2"), 17}};
     update.message.reach = 0.75;
+    update.message.crashes = {{{content_hash(8), target_id("e2"), false, milliseconds(0)}}, {}};
     update.receiver.inFlight = {{target_id("e1"), {2, 600}}};
     update.receiver.spending = {{team_id("t1"), 900}};
     return update;
@@ -65,7 +68,8 @@
                               {{target_id("e1"), {0, 0}}, {target_id("e2"), {4, 1800}}},
                               {{service_id("s"), model_id("m"), adapter_id("a2")}},
                               {{target_id("e1"), model_id("m"), adapter_id("a3"), false}},
-                              {{team_id("t1"), 12}}};
+                              {{team_id("t1"), 12}},
+                              {{{content_hash(8), target_id("e2"), false, milliseconds(0)}}, {}}};
     EXPECT_EQ(decodeDatagram(encodeDelta(delta)), peer_datagram(delta));
     const member_update update = sampleMemberUpdate();
     EXPECT_EQ(decodeDatagram(encodeSample(update)), peer_datagram(update));
@@ -77,6 +81,7 @@
     digest.nextWithin = std::chrono::hours(1000000);
     digest.holder = holder_announcement{40, milliseconds(-5)};
     digest.inFlight = {{target_id("e1"), {4000000000U, 4000000000U}}};
+    digest.crashes = {{{content_hash(1), target_id("e1"), false, milliseconds(-5)}}, {{content_hash(9), std::chrono::hours(1000000)}}};
     const auto decoded = decodeDatagram(encodeDigest(digest));
     ASSERT_TRUE(decoded);
     const auto &read = std::get<peer_digest>(*decoded);
@@ -84,19 +89,25 @@
     EXPECT_GE(read.holder->wait, milliseconds(0));
     EXPECT_LE(read.inFlight.begin()->second.requests, 1000000U);
     EXPECT_LE(read.inFlight.begin()->second.unreadTokens, 100000000U);
+    EXPECT_GE(read.crashes.reports.front().age, milliseconds(0));
+    EXPECT_LE(read.crashes.quarantines.front().left, std::chrono::hours(24));
 }
 
-/// VMs of a release without quotas send arrays that end earlier, and read longer ones.
+/// VMs of a release without quotas, or without crash news, send arrays that end earlier, and read longer ones.
 TEST(messages, fieldsOfLaterReleasesMayBeMissing)
 {
     peer_digest digest = sampleDigest();
-    std::string bytes = encodeDigest(digest);
-    nlohmann::json fields = nlohmann::json::from_cbor(bytes);
-    fields.erase(fields.size() - 1);
-    bytes.clear();
-    nlohmann::json::to_cbor(fields, nlohmann::detail::output_adapter<char>(bytes));
+    nlohmann::json fields = nlohmann::json::from_cbor(encodeDigest(digest));
+    const auto dropLastField = [&fields] {
+        fields.erase(fields.size() - 1);
+        std::string bytes;
+        nlohmann::json::to_cbor(fields, nlohmann::detail::output_adapter<char>(bytes));
+        return bytes;
+    };
+    digest.crashes = {};
+    EXPECT_EQ(decodeDatagram(dropLastField()), peer_datagram(digest));
     digest.spending.clear();
-    EXPECT_EQ(decodeDatagram(bytes), peer_datagram(digest));
+    EXPECT_EQ(decodeDatagram(dropLastField()), peer_datagram(digest));
 }
 
 TEST(messages, deepNestingIsDropped)
--- a/packages/fleet/unittests/simulated_fleet.cpp
+++ b/packages/fleet/unittests/simulated_fleet.cpp
@@ -26,6 +26,23 @@
 {
     vm_state &state = m_vms[vm];
     fleet_events events;
+    events.onCrashNews = [this, vm](const crash_news &news) {
+        crash_news &known = m_vms.at(vm).crashes;
+        crash_news unknown;
+        for (const quarantine_report &one : news.quarantines) {
+            const bool isKnown = std::ranges::any_of(known.quarantines, [&one](const quarantine_report &other) {
+                return other.fingerprint == one.fingerprint;
+            });
+            if (!isKnown) {
+                known.quarantines.push_back(one);
+                unknown.quarantines.push_back(one);
+            }
+        }
+        return unknown;
+    };
+    events.knownCrashes = [this, vm] {
+        return m_vms.at(vm).crashes;
+    };
     events.makeDigest = [&state] {
         peer_digest digest;
         digest.inFlight = state.own;
@@ -136,8 +153,16 @@
     }
 }
 
+void simulated_fleet::quarantineAt(std::size_t vm, content_hash fingerprint)
+{
+    const crash_news news{{}, {{fingerprint, milliseconds(600000)}}};
+    m_vms[vm].crashes.quarantines.push_back(news.quarantines.front());
+    m_vms[vm].node->broadcastCrashNews(m_now, news);
+}
+
 void simulated_fleet::kill(std::size_t vm)
 {
+    m_vms[vm].crashes = {};
     m_vms[vm].node.reset();
     m_vms[vm].own.clear();
 }
--- a/packages/fleet/unittests/simulated_fleet.h
+++ b/packages/fleet/unittests/simulated_fleet.h
@@ -45,6 +45,7 @@
         std::set<residency_change> residencyChanges;
         std::map<residency_change, bool> latestResidency; ///< latest reported presence; the key's own `present` is always true
         std::set<adapter_request> adapterRequests;
+        crash_news crashes; ///< that this VM has heard of or found; lost when it ends
         std::map<vm_id, std::vector<demand_entry>> demand;
         std::vector<demand_entry> ownDemand;
         std::size_t suspectedRelays = 0;
@@ -61,6 +62,8 @@
     void setInFlight(std::size_t vm, target_key target, std::uint32_t requests);
     /// Applies a new configuration of quotas at all running VMs; VMs that start later get it too.
     void setQuotas(const std::map<team_id, quota_limits> &quotas);
+    /// VM \p vm finds that \p fingerprint is to be refused.
+    void quarantineAt(std::size_t vm, content_hash fingerprint);
     void kill(std::size_t vm);
     void restart(std::size_t vm);
     void freeze(std::size_t vm, bool frozen);
--- a/packages/gateway/include/fuchsialoom/gateway/gateway.h
+++ b/packages/gateway/include/fuchsialoom/gateway/gateway.h
@@ -8,6 +8,7 @@
 #include "fuchsialoom/fleet/messages.h"
 #include "fuchsialoom/fleet/team_quotas.h"
 #include "fuchsialoom/gateway/connection_pool.h"
+#include "fuchsialoom/gateway/crash_evidence.h"
 #include "fuchsialoom/gateway/decision_log.h"
 #include "fuchsialoom/gateway/drain_rules.h"
 #include "fuchsialoom/gateway/request_facts.h"
@@ -26,11 +27,14 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <set>
+#include <string>
 
 namespace fuchsialoom
 {
 
 class exchange;
+enum class probe_result;
 
 /// Why a request that hasn't run is refused.
 enum class refusal {
@@ -43,6 +47,7 @@
     TargetsRefused,
     Draining,
     ConfigurationBehind, ///< the request's key isn't known here, and another VM has a newer configuration
+    Quarantined, ///< it crashed the targets that ran it
 };
 
 template<>
@@ -58,6 +63,7 @@
         {refusal::TargetsRefused, "targets-refused"},
         {refusal::Draining, "draining"},
         {refusal::ConfigurationBehind, "configuration-behind"},
+        {refusal::Quarantined, "quarantined"},
     });
 };
 
@@ -67,6 +73,7 @@
     domain_id domain;
     shared_retry_budget::limits retries;
     milliseconds quotaWindow{0}; ///< in which a team may use its burst once
+    milliseconds quarantineLength{600000}; ///< for which a request that crashed targets is refused
     std::uint64_t seed = 1; ///< of random choices between equally good targets
 };
 
@@ -179,6 +186,27 @@
     /// Records that the host of \p target refused a connection.
     void noteUnreachable(const target_id &target);
 
+    /// \name Requests that crash targets.
+    /// @{
+    /// Records that a peer's connection to \p target was refused.
+    void noteUnreachableElsewhere(const target_id &target);
+    /// Adds what other VMs or the store know. \return the part of it that wasn't known.
+    crash_news learnCrashNews(const crash_news &news);
+    crash_news knownCrashes() const
+    {
+        return m_crashes.known(loopNow());
+    }
+    /// Begins and ends quarantines; to be called periodically.
+    void updateQuarantines();
+    /// Sets the callback for news that this VM found and others have to hear.
+    void onCrashNews(std::function<void(const crash_news &)> callback)
+    {
+        m_onCrashNews = std::move(callback);
+    }
+    /// Prometheus text of the quarantines.
+    std::string quarantineMetrics() const;
+    /// @}
+
     /// Entries for the gossip digest: models with queued or running requests, and adapters that run or were requested
     /// after \p since.
     std::vector<demand_entry> demandSince(instant since) const;
@@ -220,6 +248,11 @@
     /// Refuses requests in \p lanes, whose model or adapter isn't resident at any target, if it can't be ordered in time.
     void refuseNotResident(instant now, const std::set<lane_key> &lanes);
     void armQueueTimer();
+    /// The connection of an attempt broke before the request was known to run: finds out whether the target died.
+    void attemptBroke(const exchange &ex, const target_id &target);
+    void onProbed(const target_id &target, probe_result result);
+    void reportDeath(const target_id &target);
+    void tellCrashNews(const crash_news &news);
     shared_retry_budget &retryBudgetFor(const service_id &service);
 
     asio::io_context &m_loop;
@@ -235,6 +268,9 @@
     std::uint64_t m_newestVersion = 0; ///< of the configurations that VMs are known to have
     target_pool m_pool;
     connection_pool m_links;
+    crash_evidence m_crashes;
+    std::set<target_id> m_probed; ///< targets with an open probe
+    std::uint64_t m_quarantineRefusals = 0;
     admission_queue m_queue;
     std::map<request_id, std::shared_ptr<exchange>> m_queued; ///< by serial
     std::map<request_id, std::weak_ptr<exchange>> m_openExchanges; ///< by serial; not completed yet
@@ -245,6 +281,7 @@
     std::function<void(const adapter_request &)> m_onAdapterMiss;
     std::function<void()> m_onInFlightChanged;
     std::function<void(const target_id &)> m_onUnreachable;
+    std::function<void(const crash_news &)> m_onCrashNews;
     std::function<milliseconds()> m_timeUntilOrders;
     asio::steady_timer m_queueTimer;
     bool m_queueTimerArmed = false;
--- a/packages/gateway/include/fuchsialoom/gateway/peer_transport.h
+++ b/packages/gateway/include/fuchsialoom/gateway/peer_transport.h
@@ -36,6 +36,7 @@
     void onInFlightChanged();
     void broadcastAdapterRequest(const adapter_request &adapterRequest);
     void broadcastResidencyChanges(const std::vector<residency_change> &residencyChanges);
+    void broadcastCrashNews(const crash_news &news);
     void scheduleEarlyDigest();
     /// @}
 
--- a/packages/gateway/lib/exchange.cpp
+++ b/packages/gateway/lib/exchange.cpp
@@ -26,6 +26,7 @@
 static constexpr milliseconds callerNetworkDelay{3};
 
 static constexpr int statusNoRoute = 404;
+static constexpr int statusFailed = 502;
 static constexpr int statusRefused = 503;
 static constexpr int statusTimedOut = 504;
 
@@ -73,6 +74,9 @@
         return;
     }
     resolveRoute();
+    if (endIfQuarantined()) {
+        return;
+    }
     if (!isModelServed()) {
         // No engine can load this model, and a load order for it would only disturb an engine.
         refuse(refusal::UnknownModel, std::nullopt);
@@ -192,6 +196,9 @@
     if (why == refusal::Draining) {
         m_gateway.addShutdownFields(line, now, *this);
     }
+    if (why == refusal::Quarantined) {
+        line.with("fingerprint", textOf(fingerprint()));
+    }
     m_gateway.m_log.writeRequest(now, line);
     header_list headers;
     if (retryAfter) {
@@ -201,6 +208,25 @@
     finish("refused", nameOf(why));
 }
 
+bool exchange::endIfQuarantined()
+{
+    if (!m_gateway.m_crashes.hasQuarantines()) {
+        return false;
+    }
+    const instant now = loopNow();
+    const std::optional<instant> until = m_gateway.m_crashes.until(now, fingerprint());
+    if (!until) {
+        return false;
+    }
+    m_gateway.m_quarantineRefusals += 1;
+    if (m_history.mayHaveRun || m_streamStarted) {
+        failRequest(statusFailed, nameOf(refusal::Quarantined));
+    } else {
+        refuse(refusal::Quarantined, std::chrono::ceil<milliseconds>(*until - now));
+    }
+    return true;
+}
+
 /// The status makes no statement about whether the request ran. A started stream is ended by closing the connection,
 /// so that the caller can't take it for complete.
 void exchange::failRequest(int status, std::string_view reason)
@@ -284,6 +310,9 @@
     m_gateway.m_metrics.add(metric::Requests, {label_value(metric_label::Outcome, known)});
     if (result == "answered") {
         m_gateway.m_counters.answered += 1;
+        if (m_gateway.m_crashes.hasReports()) {
+            m_gateway.tellCrashNews(m_gateway.m_crashes.completed(now, fingerprint()));
+        }
         if (m_attemptNumber == 1) {
             recordRun();
         }
--- a/packages/gateway/lib/exchange.h
+++ b/packages/gateway/lib/exchange.h
@@ -31,6 +31,9 @@
 
     void refuse(refusal why, std::optional<milliseconds> retryAfter);
 
+    /// Ends the request if it is one that crashes targets. \return whether it did.
+    bool endIfQuarantined();
+
     /// Ends a request that can't finish before this VM stops; refuses it as not run if that is certain.
     void abortForShutdown();
 
@@ -73,6 +76,7 @@
         answer_head head;
         std::string body; ///< of an answer that is relayed as a whole
         instant sentAt{};
+        instant firstEventAt = farFuture;
         instant lastByteAt{};
     };
 
@@ -96,6 +100,8 @@
     link_events callbacksForAttempt(std::uint32_t number);
     void onHead(const answer_head &head);
     void onPromptProcessed();
+    /// Whether the request in progress hasn't run long enough to show that it doesn't crash its target.
+    bool isBeginning(instant now) const;
     void samplePace(instant now);
     void onBody(std::string_view bytes);
     void onComplete();
--- a/packages/gateway/lib/exchange_attempts.cpp
+++ b/packages/gateway/lib/exchange_attempts.cpp
@@ -20,6 +20,8 @@
 /// Events per pace sample of a stream; at least a tenth of a stream.
 static constexpr std::uint64_t eventsPerPaceSample = 8;
 static constexpr int statusFailed = 502;
+/// A request crashes its target as it begins to run. Once its stream has gone on for this long, it has begun.
+static constexpr milliseconds beginningTime{100};
 
 std::string exchange::serializeRequest(const pool_target &target) const
 {
@@ -153,6 +155,7 @@
         return;
     }
     onPromptProcessed();
+    m_attempt->firstEventAt = std::min(m_attempt->firstEventAt, now);
     if (m_streamStarted) {
         const auto gap = std::chrono::duration_cast<milliseconds>(now - m_attempt->lastByteAt);
         m_gateway.m_metrics.observe(metric::TokenGap, now - m_attempt->lastByteAt);
@@ -259,6 +262,11 @@
     finish("answered", "whole");
 }
 
+bool exchange::isBeginning(instant now) const
+{
+    return m_attempt->firstEventAt > now - beginningTime;
+}
+
 void exchange::onFailure(link_failure how, bool sent)
 {
     const instant now = loopNow();
@@ -278,6 +286,9 @@
         handleAttemptEnd(attempt_outcome::NotSent);
         return;
     }
+    if (how == link_failure::Reset && isBeginning(now)) {
+        m_gateway.attemptBroke(*this, m_attempt->target);
+    }
     handleAttemptEnd(attempt_outcome::Broken);
 }
 
--- a/packages/gateway/lib/gateway.cpp
+++ b/packages/gateway/lib/gateway.cpp
@@ -21,6 +21,7 @@
     , m_metrics(metrics)
     , m_pool(m_options.domain)
     , m_links(loop)
+    , m_crashes(m_options.quarantineLength)
     , m_queueTimer(loop)
     , m_random(m_options.seed)
 {
@@ -158,6 +159,7 @@
 
 void gateway::noteUnreachable(const target_id &target)
 {
+    reportDeath(target);
     if (!m_pool.noteUnreachable(loopNow(), target)) {
         return;
     }
@@ -229,6 +231,9 @@
                 ex->abortForShutdown();
                 continue;
             }
+            if (ex->endIfQuarantined()) {
+                continue;
+            }
             const pool_verdict verdict = tryDispatch(*ex);
             if (verdict != pool_verdict::Chosen) {
                 blocked.insert(lane);
--- /dev/null
+++ b/packages/gateway/lib/gateway_quarantine.cpp
@@ -0,0 +1,127 @@
+/// \file
+/// Requests that crash targets: how the gateway finds them and tells others. crash_evidence decides.
+#include "fuchsialoom/gateway/gateway.h"
+
+#include "exchange.h"
+#include "fuchsialoom/gateway/request_fingerprint.h"
+#include "listener_probe.h"
+
+namespace fuchsialoom
+{
+
+/// As long as an attempt may take to connect.
+static constexpr milliseconds probeTimeout{250};
+
+void gateway::attemptBroke(const exchange &ex, const target_id &target)
+{
+    const pool_target *known = m_pool.find(target);
+    if (!known || known->listed.leaving) {
+        return; // it exits in order, and cuts off what still runs there
+    }
+    m_crashes.attemptBroke(loopNow(), ex.serial(), ex.fingerprint(), target);
+    if (known->unreachable) {
+        reportDeath(target);
+    } else if (m_probed.insert(target).second) {
+        probeListener(m_loop, tcpEndpointOf(known->listed.address), probeTimeout, [this, target](probe_result result) {
+            onProbed(target, result);
+        });
+    }
+}
+
+void gateway::onProbed(const target_id &target, probe_result result)
+{
+    m_probed.erase(target);
+    switch (result) {
+    case probe_result::Listening:
+        m_crashes.targetAnswered(target);
+        return;
+    case probe_result::Refused:
+        noteUnreachable(target);
+        return;
+    case probe_result::NoAnswer:
+        return; // cut off, perhaps: a death that is found later still counts
+    }
+}
+
+void gateway::noteUnreachableElsewhere(const target_id &target)
+{
+    m_pool.addResidencyChange(loopNow(), {target, {}, {}, false});
+    reportDeath(target);
+}
+
+void gateway::reportDeath(const target_id &target)
+{
+    const crash_news news = m_crashes.targetDied(loopNow(), target);
+    for (const crash_report &report : news.reports) {
+        m_log.write(loopNow(), log_line("request-accused").with("fingerprint", textOf(report.fingerprint)).with("target", report.target));
+    }
+    tellCrashNews(news);
+}
+
+void gateway::tellCrashNews(const crash_news &news)
+{
+    if (!news.isEmpty() && m_onCrashNews) {
+        m_onCrashNews(news);
+    }
+}
+
+crash_news gateway::learnCrashNews(const crash_news &news)
+{
+    const instant now = loopNow();
+    crash_news unknown = m_crashes.learn(now, news);
+    for (const quarantine_report &one : unknown.quarantines) {
+        m_log.write(now,
+                    log_line("request-quarantined")
+                        .with("fingerprint", textOf(one.fingerprint))
+                        .with("by", "peer")
+                        .with("retry-after-ms", one.left));
+    }
+    return unknown;
+}
+
+void gateway::updateQuarantines()
+{
+    const instant now = loopNow();
+    crash_news news;
+    for (const quarantine_verdict &verdict : m_crashes.weigh(now, m_pool.targets().size())) {
+        const auto left = std::chrono::ceil<milliseconds>(verdict.until - now);
+        m_log.write(now,
+                    log_line("request-quarantined")
+                        .with("fingerprint", textOf(verdict.fingerprint))
+                        .with("by", "reports")
+                        .with("deaths", verdict.deaths)
+                        .with("retry-after-ms", left));
+        if (verdict.isOwn) {
+            news.quarantines.push_back({verdict.fingerprint, left});
+        }
+    }
+    tellCrashNews(news);
+    for (const content_hash fingerprint : m_crashes.expire(now)) {
+        m_log.write(now, log_line("quarantine-expired").with("fingerprint", textOf(fingerprint)));
+    }
+}
+
+std::string gateway::quarantineMetrics() const
+{
+    const instant now = loopNow();
+    std::string text = "# HELP fuchsialoom_quarantine_refusals_total requests refused because they crashed targets\n"
+                       "# TYPE fuchsialoom_quarantine_refusals_total counter\n"
+                       "fuchsialoom_quarantine_refusals_total "
+        + std::to_string(m_quarantineRefusals)
+        + "\n"
+          "# HELP fuchsialoom_crash_reports requests that were about to run at targets that died, one for each target\n"
+          "# TYPE fuchsialoom_crash_reports gauge\n"
+          "fuchsialoom_crash_reports "
+        + std::to_string(m_crashes.reportCount())
+        + "\n"
+          "# HELP fuchsialoom_quarantine_seconds_left time until a quarantine ends, by the request's fingerprint\n"
+          "# TYPE fuchsialoom_quarantine_seconds_left gauge\n";
+    for (const auto &[fingerprint, until] : m_crashes.quarantines()) {
+        const auto left = std::chrono::ceil<seconds>(until - now).count();
+        text.append("fuchsialoom_quarantine_seconds_left{fingerprint=\"").append(textOf(fingerprint)).append("\"} ");
+        text.append(std::to_string(left)).append("\n");
+    }
+    return text;
+}
+
+} // namespace fuchsialoom
--- a/packages/gateway/lib/peer_transport.cpp
+++ b/packages/gateway/lib/peer_transport.cpp
@@ -78,6 +78,12 @@
     armTimer();
 }
 
+void peer_transport::broadcastCrashNews(const crash_news &news)
+{
+    m_fleet.broadcastCrashNews(loopNow(), news);
+    armTimer();
+}
+
 void peer_transport::scheduleEarlyDigest()
 {
     m_fleet.scheduleEarlyDigest(loopNow());
