--- a/packages/gateway/include/fuchsialoom/gateway/gateway.h
+++ b/packages/gateway/include/fuchsialoom/gateway/gateway.h
@@ -67,6 +67,20 @@
     });
 };
 
+enum class crash_news_source {
+    Peer,
+    Store,
+};
+
+template<>
+struct name_table<crash_news_source>
+{
+    static constexpr auto entries = std::to_array<enum_name<crash_news_source>>({
+        {crash_news_source::Peer, "peer"},
+        {crash_news_source::Store, "store"},
+    });
+};
+
 struct gateway_options
 {
     vm_id vm;
@@ -191,7 +205,7 @@
     /// Records that a peer's connection to \p target was refused.
     void noteUnreachableElsewhere(const target_id &target);
     /// Adds what other VMs or the store know. \return the part of it that wasn't known.
-    crash_news learnCrashNews(const crash_news &news);
+    crash_news learnCrashNews(const crash_news &news, crash_news_source source);
     crash_news knownCrashes() const
     {
         return m_crashes.known(loopNow());
--- a/packages/gateway/lib/gateway_quarantine.cpp
+++ b/packages/gateway/lib/gateway_quarantine.cpp
@@ -65,7 +65,7 @@
     }
 }
 
-crash_news gateway::learnCrashNews(const crash_news &news)
+crash_news gateway::learnCrashNews(const crash_news &news, crash_news_source source)
 {
     const instant now = loopNow();
     crash_news unknown = m_crashes.learn(now, news);
@@ -73,7 +73,7 @@
         m_log.write(now,
                     log_line("request-quarantined")
                         .with("fingerprint", textOf(one.fingerprint))
-                        .with("by", "peer")
+                        .with("by", source)
                         .with("retry-after-ms", one.left));
     }
     return unknown;
--- a/tests/platform_poison_test.cpp
+++ b/tests/platform_poison_test.cpp
@@ -71,6 +71,42 @@
         ASSERT_GE(crashedTargets(), crashesToContain);
     }
 
+    void setFault(target_fault fault)
+    {
+        m_world.call([&] {
+            for (const std::string &id : m_targets) {
+                m_world.target(id).setFault(fault);
+            }
+        });
+    }
+
+    /// The target at which \p request runs and that hasn't crashed; empty if there is none.
+    std::string runningAt(const std::string &request)
+    {
+        return m_world.call([&]() -> std::string {
+            for (const std::string &id : m_targets) {
+                if (!m_world.target(id).hasCrashed() && m_world.target(id).runs().contains(request)) {
+                    return id;
+                }
+            }
+            return "";
+        });
+    }
+
+    /// Crashes \p id together with another target.
+    void crashWave(const std::string &id)
+    {
+        m_world.call([&] {
+            m_world.target(id).crash();
+            for (const std::string &other : m_targets) {
+                if (!m_world.target(other).hasCrashed()) {
+                    m_world.target(other).crash();
+                    return;
+                }
+            }
+        });
+    }
+
     platform_world m_world;
     std::vector<std::string> m_vms;
     std::vector<std::string> m_targets;
@@ -95,4 +131,76 @@
     EXPECT_LE(contained, crashesToContain + 3);
 }
 
+/// It hears of the quarantine from its peers.
+TEST_F(platform_poison_test, aVmThatTheStoreTurnsAwayRefusesTheRequestToo)
+{
+    store_gate gate(m_world.call([&] {
+        return m_world.store().address().port();
+    }));
+    const std::string turnedAway = m_world.startVm("a", gate.port());
+    startVms(2, 10);
+    ASSERT_TRUE(m_world.waitReady(turnedAway));
+    std::this_thread::sleep_for(std::chrono::seconds(2));
+    gate.close();
+    crashThree();
+    std::this_thread::sleep_for(containmentTime);
+    EXPECT_EQ(askAt(turnedAway, crashPath).status, 503);
+    EXPECT_EQ(askAt(turnedAway, "/chat/1").status, 200);
+}
+
+TEST_F(platform_poison_test, aVmThatStartsLaterRefusesTheRequestToo)
+{
+    startVms(2, 10);
+    crashThree();
+    std::this_thread::sleep_for(containmentTime);
+    const std::string late = m_world.startVm();
+    ASSERT_TRUE(m_world.waitReady(late));
+    std::this_thread::sleep_for(std::chrono::seconds(1));
+    const int contained = crashedTargets();
+    EXPECT_EQ(askAt(late, crashPath).status, 503);
+    EXPECT_EQ(crashedTargets(), contained);
+}
+
+TEST_F(platform_poison_test, theRequestIsStillRefusedAfterAllVmsHaveStartedAnew)
+{
+    startVms(2, 10);
+    crashThree();
+    std::this_thread::sleep_for(containmentTime);
+    for (const std::string &vm : m_vms) {
+        m_world.vm(vm).kill();
+    }
+    const std::string first = m_world.startVm();
+    ASSERT_TRUE(m_world.waitReady(first));
+    const int contained = crashedTargets();
+    EXPECT_EQ(askAt(first, crashPath).status, 503);
+    EXPECT_EQ(crashedTargets(), contained);
+}
+
+TEST_F(platform_poison_test, aRequestThatWasThereAtThreeWavesOfCrashesIsServed)
+{
+    startVms(2, 12);
+    setFault(target_fault::Hang);
+    int waves = 0;
+    for (int attempt = 0; attempt < 2; ++attempt) {
+        const std::string request = "w" + std::to_string(attempt);
+        asio::ip::tcp::socket caller = m_world.send(m_vms[static_cast<std::size_t>(attempt)], {.path = "/chat/wave", .id = request});
+        for (int target = 0; target < 2; ++target, ++waves) {
+            std::string at;
+            ASSERT_TRUE(waitFor([&] {
+                at = runningAt(request);
+                return !at.empty();
+            }));
+            crashWave(at);
+            std::this_thread::sleep_for(std::chrono::milliseconds(200));
+        }
+        EXPECT_EQ(platform_world::receive(caller).status, 502);
+    }
+    EXPECT_GE(waves, crashesToContain);
+    std::this_thread::sleep_for(std::chrono::seconds(1));
+    setFault(target_fault::None);
+    for (const std::string &vm : m_vms) {
+        EXPECT_EQ(askAt(vm, "/chat/wave").status, 200) << vm;
+    }
+}
+
 } // namespace fuchsialoom
