fuchsialoomctl quarantines: which requests each VM refuses, side by side

Reads the VMs' metrics as the command teams does, whose reading of samples both now share. platform_poison_test checks that the lines of a refused request, the metrics and the command name the same fingerprint.

--- a/packages/gateway/lib/crash_evidence.cpp
+++ b/packages/gateway/lib/crash_evidence.cpp
@@ -8,10 +8,10 @@
 {
 
 static constexpr std::size_t deathsToQuarantine = 3;
-/// Of 100,000 requests that were at three dead targets without being the cause, one is quarantined.
+/// Accepted probability that a request was at all of its deaths by chance.
 static constexpr double maxChance = 1e-5;
-/// Lower bound of the chance at one death, however lonely: a twentieth of the deployment's requests runs at the target,
-/// and of these a fifth is about to begin.
+/// Lower bound of the chance at one death, however lonely: one target in twenty dies, and one in five of the requests there
+/// is about to begin.
 static constexpr double minChance = 0.01;
 /// Deaths at most this far before count as one wave with a death. A wave is reported within tens of milliseconds, but a
 /// rolling restart takes a second for each target.
--- a/tests/platform_poison_test.cpp
+++ b/tests/platform_poison_test.cpp
@@ -20,6 +20,7 @@
 /// After the third target has ended, the whole fleet has this long to stop sending the request.
 constexpr std::chrono::milliseconds containmentTime{3000};
 constexpr int crashesToContain = 3;
+constexpr std::size_t maxCrashAttempts = 6;
 
 class platform_poison_test : public testing::Test
 {
@@ -65,7 +66,7 @@
     /// Sends the crashing request to one VM after the other until three targets have crashed.
     void crashThree()
     {
-        for (std::size_t attempt = 0; crashedTargets() < crashesToContain && attempt < 2 * crashesToContain; ++attempt) {
+        for (std::size_t attempt = 0; crashedTargets() < crashesToContain && attempt < maxCrashAttempts; ++attempt) {
             askAt(m_vms[attempt % m_vms.size()], crashPath);
         }
         ASSERT_GE(crashedTargets(), crashesToContain);
@@ -131,6 +132,36 @@
     EXPECT_LE(contained, crashesToContain + 3);
 }
 
+TEST_F(platform_poison_test, linesMetricsAndTheCommandNameTheFingerprint)
+{
+    startVms(2, 8);
+    crashThree();
+    std::this_thread::sleep_for(containmentTime);
+    ASSERT_EQ(askAt(m_vms[0], crashPath).status, 503);
+    std::string lines;
+    ASSERT_TRUE(waitFor([&] {
+        lines = m_world.vm(m_vms[0]).output();
+        return lines.find("reason=quarantined") != std::string::npos;
+    }));
+    const std::string refusal = lines.substr(lines.find("reason=quarantined"));
+    const std::size_t at = refusal.find("fingerprint=") + std::string("fingerprint=").size();
+    const std::string fingerprint = refusal.substr(at, 16);
+    EXPECT_NE(lines.find("event=request-accused fingerprint=" + fingerprint), std::string::npos);
+    EXPECT_NE(lines.find("event=request-quarantined fingerprint=" + fingerprint), std::string::npos);
+    const std::string metrics = m_world.metricsOf(m_vms[0]);
+    EXPECT_NE(metrics.find("fuchsialoom_quarantine_refusals_total 1\n"), std::string::npos) << metrics;
+    child_process shown("quarantines",
+                        "tools/fuchsialoomctl",
+                        {"quarantines", "--vm", m_world.metricsAddressOf(m_vms[0]), "--vm", m_world.metricsAddressOf(m_vms[1])});
+    ASSERT_TRUE(waitFor([&] {
+        return shown.ended();
+    }));
+    const std::string table = shown.output();
+    EXPECT_NE(table.find(m_world.metricsAddressOf(m_vms[0]) + " "), std::string::npos) << table;
+    EXPECT_NE(table.find(m_world.metricsAddressOf(m_vms[1]) + " "), std::string::npos) << table;
+    EXPECT_NE(table.find(fingerprint), std::string::npos) << table;
+}
+
 /// It hears of the quarantine from its peers.
 TEST_F(platform_poison_test, aVmThatTheStoreTurnsAwayRefusesTheRequestToo)
 {
--- a/tools/fuchsialoomctl/main.cpp
+++ b/tools/fuchsialoomctl/main.cpp
@@ -7,6 +7,7 @@
 #include "fuchsialoom/node/process_options.h"
 #include "fuchsialoom/support/errors.h"
 #include "log_commands.h"
+#include "quarantines_command.h"
 #include "settings_commands.h"
 #include "status_command.h"
 #include "teams_command.h"
@@ -39,6 +40,9 @@
     command{"schema", "schema [--markdown]      every setting there is", showSchema},
     command{"status", "status                   every VM named by --vm", showStatus},
     command{"teams", "teams [TEAM...]          use and credit of quotas at each VM named by --vm, by its metrics port", showTeams},
+    command{"quarantines",
+            "quarantines [FINGERPRINT...]  requests refused because they crashed targets, by metrics port as teams",
+            showQuarantines},
     command{"claims", "claims --unknown [SCOPE] requests that may have run, to reconcile; SCOPE begins BRAND/SERVICE/KEY", showClaims},
     command{"timeline", "timeline [--since S]     the events of all VMs, of the last S seconds", showTimeline},
     command{"explain", "explain ID [FILE...]     the story of one request, order, target or setting; from logs where named", explain},
