--- a/tests/platform_poison_test.cpp
+++ b/tests/platform_poison_test.cpp
@@ -6,10 +6,14 @@
 #include <gtest/gtest.h>
 
 #include <chrono>
+#include <cstdio>
+#include <fstream>
 #include <string>
 #include <thread>
 #include <vector>
 
+#include <unistd.h>
+
 namespace fuchsialoom
 {
 
@@ -160,6 +164,14 @@
     EXPECT_NE(table.find(m_world.metricsAddressOf(m_vms[0]) + " "), std::string::npos) << table;
     EXPECT_NE(table.find(m_world.metricsAddressOf(m_vms[1]) + " "), std::string::npos) << table;
     EXPECT_NE(table.find(fingerprint), std::string::npos) << table;
+    const std::string file = testing::TempDir() + "/poison-" + std::to_string(::getpid()) + ".log";
+    std::ofstream(file) << lines;
+    child_process explained("explain", "tools/fuchsialoomctl", {"explain", fingerprint, file});
+    ASSERT_TRUE(waitFor([&] {
+        return explained.ended();
+    }));
+    EXPECT_NE(explained.output().find("event=request-quarantined"), std::string::npos) << explained.output();
+    std::remove(file.c_str());
 }
 
 /// It hears of the quarantine from its peers.
--- a/tools/fuchsialoomctl/log_commands.cpp
+++ b/tools/fuchsialoomctl/log_commands.cpp
@@ -6,9 +6,11 @@
 #include "fuchsialoom/support/errors.h"
 
 #include <algorithm>
+#include <array>
 #include <fstream>
 #include <functional>
 #include <iostream>
+#include <string_view>
 #include <vector>
 
 namespace fuchsialoom::ctl
@@ -47,7 +49,10 @@
 {
     std::vector<std::pair<milliseconds, std::string>> lines;
     forEachRecord(files, [&](const log_record &record, const std::string &line) {
-        const bool names = record.value("request") == id || record.value("target") == id || record.value("peer") == id;
+        static constexpr std::array<std::string_view, 4> namingFields{"request", "target", "peer", "fingerprint"};
+        const bool names = std::ranges::any_of(namingFields, [&](std::string_view field) {
+            return record.value(field) == id;
+        });
         if (names) {
             lines.emplace_back(record.wallTime(), line);
         }
