Quarantines that a relay reads in the store reach its members

In a domain that is cut off with a relay, members skip their own reads while their relay serves them, and the relay kept to itself what it had read. Seen in the code. crash_fleets.membersInADomain* at 9, 60 and 330 VMs.

--- a/packages/fleet/include/fuchsialoom/fleet/fleet_node.h
+++ b/packages/fleet/include/fuchsialoom/fleet/fleet_node.h
@@ -116,6 +116,8 @@
     void broadcastResidencyChanges(instant now, const std::vector<residency_change> &residencyChanges);
     /// Tells every VM of crashed targets and quarantines that this VM found.
     void broadcastCrashNews(instant now, const crash_news &news);
+    /// Tells this VM's members of quarantines that every relay reads for itself.
+    void forwardCrashNews(instant now, const crash_news &news);
     /// Schedules an early digest, since something else in it changed that other VMs wait for.
     void scheduleEarlyDigest(instant now);
     /// @}
--- a/packages/fleet/lib/fleet_sending.cpp
+++ b/packages/fleet/lib/fleet_sending.cpp
@@ -70,6 +70,14 @@
     scheduleDelta(now);
 }
 
+void fleet_node::forwardCrashNews(instant now, const crash_news &news)
+{
+    if (!m_members.empty() && !news.isEmpty()) {
+        m_crashNews.add(now, news, false);
+        scheduleDelta(now);
+    }
+}
+
 instant fleet_node::nextAt() const
 {
     const instant heartbeatAt = m_relaySelection.isRelay() ? m_lastDeltaAt + pacing::heartbeatInterval : farFuture;
--- a/packages/fleet/unittests/crash_news_test.cpp
+++ b/packages/fleet/unittests/crash_news_test.cpp
@@ -169,4 +169,20 @@
     EXPECT_EQ(countUnaware(fleet), 0U);
 }
 
+TEST_P(crash_fleets, membersInADomainThatIsCutOffLearnWhatTheirRelaysReadInTheStore)
+{
+    simulated_fleet fleet = made(6, 0.02);
+    fleet.startAll();
+    fleet.run(seconds(5));
+    const domain_id cut = fleet.at(0).record.domain;
+    fleet.partition(cut, true);
+    fleet.run(seconds(5));
+    fleet.readQuarantineInStore(cut, poison);
+    fleet.run(seconds(1));
+    for (std::size_t vm = 0; vm < fleet.size(); ++vm) {
+        const bool isInside = fleet.at(vm).record.domain == cut;
+        EXPECT_EQ(fleet.at(vm).crashes.quarantines.empty(), !isInside) << "VM " << vm;
+    }
+}
+
 } // namespace fuchsialoom
--- a/packages/fleet/unittests/simulated_fleet.cpp
+++ b/packages/fleet/unittests/simulated_fleet.cpp
@@ -160,6 +160,17 @@
     m_vms[vm].node->broadcastCrashNews(m_now, news);
 }
 
+void simulated_fleet::readQuarantineInStore(const domain_id &domain, content_hash fingerprint)
+{
+    const crash_news news{{}, {{fingerprint, milliseconds(600000)}}};
+    for (vm_state &vm : m_vms) {
+        if (vm.node && vm.record.domain == domain && vm.node->isRelay()) {
+            vm.crashes.quarantines.push_back(news.quarantines.front());
+            vm.node->forwardCrashNews(m_now, news);
+        }
+    }
+}
+
 void simulated_fleet::kill(std::size_t vm)
 {
     m_vms[vm].crashes = {};
--- a/packages/fleet/unittests/simulated_fleet.h
+++ b/packages/fleet/unittests/simulated_fleet.h
@@ -64,6 +64,8 @@
     void setQuotas(const std::map<team_id, quota_limits> &quotas);
     /// VM \p vm finds that \p fingerprint is to be refused.
     void quarantineAt(std::size_t vm, content_hash fingerprint);
+    /// Every relay of \p domain reads in the store that \p fingerprint is to be refused.
+    void readQuarantineInStore(const domain_id &domain, content_hash fingerprint);
     void kill(std::size_t vm);
     void restart(std::size_t vm);
     void freeze(std::size_t vm, bool frozen);
--- a/packages/gateway/include/fuchsialoom/gateway/peer_transport.h
+++ b/packages/gateway/include/fuchsialoom/gateway/peer_transport.h
@@ -37,6 +37,7 @@
     void broadcastAdapterRequest(const adapter_request &adapterRequest);
     void broadcastResidencyChanges(const std::vector<residency_change> &residencyChanges);
     void broadcastCrashNews(const crash_news &news);
+    void forwardCrashNews(const crash_news &news);
     void scheduleEarlyDigest();
     /// @}
 
--- a/packages/gateway/lib/peer_transport.cpp
+++ b/packages/gateway/lib/peer_transport.cpp
@@ -84,6 +84,12 @@
     armTimer();
 }
 
+void peer_transport::forwardCrashNews(const crash_news &news)
+{
+    m_fleet.forwardCrashNews(loopNow(), news);
+    armTimer();
+}
+
 void peer_transport::scheduleEarlyDigest()
 {
     m_fleet.scheduleEarlyDigest(loopNow());
