Tests of crash news: one cut for both tests; wait until the store's quarantines were read

A VM is ready before it has read the quarantines, which depends on one more answer of the store; beside load the test's request could come in between.

--- a/packages/fleet/unittests/crash_news_test.cpp
+++ b/packages/fleet/unittests/crash_news_test.cpp
@@ -33,6 +33,25 @@
     return unaware;
 }
 
+/// Cuts off the domain of the first VM, for long enough that roles and silences have settled. \return the domain.
+domain_id cutOffFirstDomain(simulated_fleet &fleet)
+{
+    fleet.startAll();
+    fleet.run(seconds(5));
+    domain_id cut = fleet.at(0).record.domain;
+    fleet.partition(cut, true);
+    fleet.run(seconds(10));
+    return cut;
+}
+
+void expectOnlyDomainKnows(simulated_fleet &fleet, const domain_id &domain)
+{
+    for (std::size_t vm = 0; vm < fleet.size(); ++vm) {
+        const bool isInside = fleet.at(vm).record.domain == domain;
+        EXPECT_EQ(fleet.at(vm).crashes.quarantines.empty(), !isInside) << "VM " << vm;
+    }
+}
+
 } // namespace
 
 TEST(crash_outbox, sendsEachItemFourTimesOnEachChannel)
@@ -153,17 +172,10 @@
 TEST_P(crash_fleets, aDomainThatWasCutOffLearnsAfterwards)
 {
     simulated_fleet fleet = made(5, 0.02);
-    fleet.startAll();
-    fleet.run(seconds(5));
-    const domain_id cut = fleet.at(0).record.domain;
-    fleet.partition(cut, true);
-    fleet.run(seconds(10));
+    const domain_id cut = cutOffFirstDomain(fleet);
     fleet.quarantineAt(0, poison);
     fleet.run(seconds(10));
-    for (std::size_t vm = 0; vm < fleet.size(); ++vm) {
-        const bool isInside = fleet.at(vm).record.domain == cut;
-        EXPECT_EQ(fleet.at(vm).crashes.quarantines.empty(), !isInside) << "VM " << vm << " while the domain is cut off";
-    }
+    expectOnlyDomainKnows(fleet, cut);
     fleet.partition(cut, false);
     fleet.run(seconds(2));
     EXPECT_EQ(countUnaware(fleet), 0U);
@@ -172,17 +184,10 @@
 TEST_P(crash_fleets, membersInADomainThatIsCutOffLearnWhatTheirRelaysReadInTheStore)
 {
     simulated_fleet fleet = made(6, 0.02);
-    fleet.startAll();
-    fleet.run(seconds(5));
-    const domain_id cut = fleet.at(0).record.domain;
-    fleet.partition(cut, true);
-    fleet.run(seconds(5));
+    const domain_id cut = cutOffFirstDomain(fleet);
     fleet.readQuarantineInStore(cut, poison);
     fleet.run(seconds(1));
-    for (std::size_t vm = 0; vm < fleet.size(); ++vm) {
-        const bool isInside = fleet.at(vm).record.domain == cut;
-        EXPECT_EQ(fleet.at(vm).crashes.quarantines.empty(), !isInside) << "VM " << vm;
-    }
+    expectOnlyDomainKnows(fleet, cut);
 }
 
 } // namespace fuchsialoom
--- a/tests/platform_poison_test.cpp
+++ b/tests/platform_poison_test.cpp
@@ -214,6 +214,9 @@
     }
     const std::string first = m_world.startVm();
     ASSERT_TRUE(m_world.waitReady(first));
+    ASSERT_TRUE(waitFor([&] {
+        return m_world.vm(first).output().find("by=store") != std::string::npos;
+    }));
     const int contained = crashedTargets();
     EXPECT_EQ(askAt(first, crashPath).status, 503);
     EXPECT_EQ(crashedTargets(), contained);
