Answers: the log tells how each was framed, how its connection ended, and what of an event was left over

Cause: the lines of a stream that was passed on as whole could not tell whether its engine sent neither length nor chunks, whether the connection was closed or reset, or whether an event was cut.

Change: answer_head has its framing; link_failure tells an orderly close (closed) from a lost connection (reset), which were both reset; attempt-broke and done have framing= and unfinished-bytes=. No decision changes: both kinds count as a crash's sign as they did.

--- a/packages/gateway/lib/exchange.cpp
+++ b/packages/gateway/lib/exchange.cpp
@@ -292,6 +292,9 @@
     }
     line.with("target", m_attempt ? m_attempt->target.text() : std::string());
     line.with("status", std::to_string(m_attempt ? m_attempt->head.status : 0));
+    if (m_attempt && m_attempt->headReceived) {
+        line.with("framing", nameOf(m_attempt->head.framing));
+    }
     line.with("took-ms", std::to_string(std::chrono::duration_cast<milliseconds>(now - m_arrivedAt).count()));
     line.with("waited-ms", std::to_string(std::chrono::duration_cast<milliseconds>(m_queueTime).count()));
     line.with("objective-ms", std::to_string(m_route.objective.count()));
@@ -299,6 +302,7 @@
         line.with("gap-objective-ms", std::to_string(m_route.gapObjective.count()));
         line.with("first-ms", std::to_string(std::chrono::duration_cast<milliseconds>(m_firstEventAt - m_arrivedAt).count()));
         line.with("events", std::to_string(m_eventScanner.count())).with("gap-ms", std::to_string(m_gapMs));
+        line.with("unfinished-bytes", std::to_string(m_eventScanner.rest().size()));
     }
     m_gateway.m_log.writeRequest(now, line);
     // A refusal states that the request hasn't run, so the latest attempt was one that its target didn't run.
--- a/packages/gateway/lib/exchange_attempts.cpp
+++ b/packages/gateway/lib/exchange_attempts.cpp
@@ -275,7 +275,9 @@
                                      .with("target", m_attempt->target)
                                      .with("how", how)
                                      .with("head", m_attempt->headReceived ? "yes" : "no")
+                                     .with("framing", m_attempt->headReceived ? nameOf(m_attempt->head.framing) : "none")
                                      .with("events", m_eventScanner.count())
+                                     .with("unfinished-bytes", m_eventScanner.rest().size())
                                      .with("fingerprint", textOf(fingerprint()))
                                      .with("after-ms", std::chrono::duration_cast<milliseconds>(now - m_attempt->sentAt)));
     if (how == link_failure::Refused) {
@@ -286,7 +288,7 @@
         handleAttemptEnd(attempt_outcome::NotSent);
         return;
     }
-    if (how == link_failure::Reset && isBeginning(now)) {
+    if ((how == link_failure::Reset || how == link_failure::Closed) && isBeginning(now)) {
         m_gateway.attemptBroke(*this, m_attempt->target);
     }
     handleAttemptEnd(attempt_outcome::Broken);
--- a/packages/http/include/fuchsialoom/http/answer_reader.h
+++ b/packages/http/include/fuchsialoom/http/answer_reader.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "fuchsialoom/http/header_list.h"
+#include "fuchsialoom/support/name_table.h"
 
 #include <cstddef>
 #include <memory>
@@ -13,9 +14,29 @@
 namespace fuchsialoom
 {
 
+/// What marks the end of an answer's body.
+enum class answer_framing {
+    Bodiless, ///< it has none
+    Length,
+    Chunks,
+    Connection, ///< neither: it ends with its connection
+};
+
+template<>
+struct name_table<answer_framing>
+{
+    static constexpr auto entries = std::to_array<enum_name<answer_framing>>({
+        {answer_framing::Bodiless, "bodiless"},
+        {answer_framing::Length, "length"},
+        {answer_framing::Chunks, "chunks"},
+        {answer_framing::Connection, "connection"},
+    });
+};
+
 struct answer_head
 {
     int status = 0;
+    answer_framing framing = answer_framing::Bodiless;
     header_list headers; ///< as sent, those of the connection included
 };
 
--- a/packages/http/include/fuchsialoom/http/http_link.h
+++ b/packages/http/include/fuchsialoom/http/http_link.h
@@ -24,7 +24,8 @@
     NoConnection, ///< there was none for another reason: nothing was sent
     ConnectTimeout, ///< likewise
     Withdrawn, ///< mayWrite returned false after connecting: nothing was sent
-    Reset, ///< the connection ended before the answer was whole
+    Reset, ///< the connection was lost before the answer was whole
+    Closed, ///< the server closed it in order before the answer was whole
     Malformed, ///< what came is no answer
     WrongAnswer, ///< answers to other requests came instead
 };
@@ -38,6 +39,7 @@
         {link_failure::ConnectTimeout, "connect-timeout"},
         {link_failure::Withdrawn, "withdrawn"},
         {link_failure::Reset, "reset"},
+        {link_failure::Closed, "closed"},
         {link_failure::Malformed, "malformed"},
         {link_failure::WrongAnswer, "wrong-answer"},
     });
--- a/packages/http/lib/answer_reader.cpp
+++ b/packages/http/lib/answer_reader.cpp
@@ -5,6 +5,7 @@
 #include <http_parser.h>
 
 #include <cassert>
+#include <climits>
 
 namespace fuchsialoom
 {
@@ -39,6 +40,18 @@
         return parser.status_code >= 100 && parser.status_code < 200;
     }
 
+    /// Valid when the head is whole, before the body is parsed.
+    answer_framing framing() const
+    {
+        if (toHead || parser.status_code == 204 || parser.status_code == 304) {
+            return answer_framing::Bodiless;
+        }
+        if (parser.flags & F_CHUNKED) {
+            return answer_framing::Chunks;
+        }
+        return parser.content_length == ULLONG_MAX ? answer_framing::Connection : answer_framing::Length;
+    }
+
     void endField()
     {
         if (!fieldName.empty()) {
@@ -126,6 +139,7 @@
                 return 0;
             }
             self.head.status = parser->status_code;
+            self.head.framing = self.framing();
             self.headWhole = true;
             self.progress.headCame = true;
             return self.toHead ? 1 : 0;
--- a/packages/http/lib/http_link.cpp
+++ b/packages/http/lib/http_link.cpp
@@ -146,14 +146,18 @@
         close();
         return;
     }
-    if (!m_reader.hasStarted() || !inOrder) {
+    if (!inOrder) {
         fail(link_failure::Reset);
         return;
     }
+    if (!m_reader.hasStarted()) {
+        fail(link_failure::Closed);
+        return;
+    }
     const answer_progress progress = m_reader.finish();
     m_tainted = true;
     if (progress.broken || !progress.complete) {
-        fail(link_failure::Reset);
+        fail(link_failure::Closed);
         return;
     }
     handle(progress);
--- a/packages/http/unittests/answer_reader_test.cpp
+++ b/packages/http/unittests/answer_reader_test.cpp
@@ -46,6 +46,24 @@
     EXPECT_FALSE(reader.allowsReuse());
 }
 
+TEST(answer_reader, tellsWhatEndsTheBody)
+{
+    const std::pair<const char *, answer_framing> cases[] = {
+        {"HTTP/1.1 200 OK\r\n\r\n", answer_framing::Connection},
+        {"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", answer_framing::Length},
+        {"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhel", answer_framing::Length},
+        {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhel", answer_framing::Chunks},
+        {"HTTP/1.0 200 OK\r\nConnection: keep-alive\r\n\r\n", answer_framing::Connection},
+        {"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n\r\n", answer_framing::Connection},
+        {"HTTP/1.1 204 No Content\r\n\r\n", answer_framing::Bodiless},
+    };
+    for (const auto &[text, framing] : cases) {
+        answer_reader reader;
+        EXPECT_TRUE(reader.consume(text).headCame) << text;
+        EXPECT_EQ(reader.head().framing, framing) << text;
+    }
+}
+
 TEST(answer_reader, aCutAnswerIsBroken)
 {
     for (const char *text : {"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhel",
--- a/packages/http/unittests/http_link_test.cpp
+++ b/packages/http/unittests/http_link_test.cpp
@@ -150,6 +150,19 @@
     EXPECT_TRUE(seen.sent);
 }
 
+TEST_F(http_link_test, anOrderlyCloseInTheMiddleIsAFailure)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nX-Id: 1\r\n";
+    for (const std::string &cut : {std::string(),
+                                   std::string("HTTP/1.1 2"),
+                                   head,
+                                   head + "Content-Length: 9\r\n\r\nabc",
+                                   head + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n"}) {
+        scripted_server server(m_loop, {{cut, scripted_step::end::Close}});
+        EXPECT_EQ(ask(linkTo(server)).failure, link_failure::Closed) << cut;
+    }
+}
+
 TEST_F(http_link_test, bytesThatAreNoAnswerAreAFailure)
 {
     scripted_server server(m_loop, {{"no answer at all\r\n\r\n"}});
