Streams that end inside an event are broken off, however they are framed

What callers saw: 200 with an engine's signature and the beginning of its stream, in chunks that ended as a complete answer does.

Cause: an answer with neither length nor chunks ends with its connection. http_link rightly reports its orderly end as the end of the message, and exchange took that for the end of the stream: it relayed what event_scanner had left over, part of an event, and ended its own chunks. The engine was also noted as having succeeded, its run as a sample, and the request as cleared of crashes.

Change: event_scanner::end alone decides whether a stream is whole, from its events and the framing: part of an event left over is never whole, nor is a stream that ended with its connection before an event that the caller doesn't have. A broken stream goes the way of each broken attempt (onBrokenOff): log, failure of the target, budget, resume after the last whole event, 502 or an ended connection, and a sign of a crash. Events end at an empty line after LF, CRLF or CR; comments and empty lines belong to none.

--- a/packages/gateway/lib/event_scanner.cpp
+++ b/packages/gateway/lib/event_scanner.cpp
@@ -8,12 +8,13 @@
 {
 
 static constexpr std::string_view idField = "id:";
+static constexpr char commentMark = ':';
 
 /// The number in the event's id field, if any.
 static std::optional<std::uint64_t> idOf(std::string_view event)
 {
     while (!event.empty()) {
-        const std::size_t end = event.find('\n');
+        const std::size_t end = event.find_first_of("\r\n");
         std::string_view line = event.substr(0, end);
         if (line.starts_with(idField)) {
             line.remove_prefix(idField.size());
@@ -29,15 +30,27 @@
     return std::nullopt;
 }
 
-/// Length of the first event in \p text, including the empty line that ends it; 0 if it is incomplete.
-static std::size_t eventLength(std::string_view text)
+struct line_end
 {
-    const std::size_t plain = text.find("\n\n");
-    const std::size_t carriage = text.find("\n\r\n");
-    if (carriage != std::string_view::npos && (plain == std::string_view::npos || carriage < plain)) {
-        return carriage + 3;
+    std::size_t at = std::string_view::npos; ///< first byte after the line's content; npos: the line is incomplete
+    std::size_t next = 0; ///< first byte of the next line
+};
+
+/// \p isEnd: nothing follows \p text, so a CR at its end isn't the first half of a CRLF.
+static line_end findLineEnd(std::string_view text, std::size_t from, bool isEnd)
+{
+    const std::size_t feed = text.find('\n', from);
+    const std::size_t carriage = text.substr(0, feed).find('\r', from);
+    if (carriage == std::string_view::npos) {
+        return {feed, feed + 1};
+    }
+    if (carriage + 1 == feed) {
+        return {carriage, feed + 1};
     }
-    return plain == std::string_view::npos ? 0 : plain + 2;
+    if (carriage + 1 == text.size() && !isEnd) {
+        return {};
+    }
+    return {carriage, carriage + 1};
 }
 
 bool event_scanner::accept(std::string_view event)
@@ -49,29 +62,62 @@
     if (id) {
         m_lastId = id;
     }
-    m_count += 1;
+    m_count += m_hasField ? 1 : 0;
     return true;
 }
 
-std::string event_scanner::feed(std::string_view bytes)
+std::string event_scanner::scan(bool isEnd)
 {
-    m_rest.append(bytes);
     std::string whole;
-    std::string_view text(m_rest);
-    for (std::size_t length = eventLength(text); length > 0; length = eventLength(text)) {
-        const std::string_view event = text.substr(0, length);
+    const std::string_view text(m_rest);
+    std::size_t eventStart = 0;
+    for (line_end end = findLineEnd(text, m_lineStart, isEnd); end.at != std::string_view::npos;
+         end = findLineEnd(text, m_lineStart, isEnd)) {
+        const bool isEmpty = end.at == m_lineStart;
+        if (!isEmpty) {
+            m_hasField = m_hasField || text[m_lineStart] != commentMark;
+            m_lineStart = end.next;
+            continue;
+        }
+        const std::string_view event = text.substr(eventStart, end.next - eventStart);
         if (accept(event)) {
             whole.append(event);
         }
-        text.remove_prefix(length);
+        m_hasField = false;
+        m_lineStart = end.next;
+        eventStart = end.next;
     }
-    m_rest.erase(0, m_rest.size() - text.size());
+    m_rest.erase(0, eventStart);
+    m_lineStart -= eventStart;
     return whole;
 }
 
+std::string event_scanner::feed(std::string_view bytes)
+{
+    m_rest.append(bytes);
+    return scan(false);
+}
+
+std::string event_scanner::finish()
+{
+    return scan(true);
+}
+
+stream_end event_scanner::end(answer_framing framing) const
+{
+    if (m_hasField || m_lineStart < m_rest.size()) {
+        return stream_end::InsideEvent;
+    }
+    const bool hasNews = m_count > m_countAtRestart;
+    return framing == answer_framing::Connection && !hasNews ? stream_end::NoEvent : stream_end::Whole;
+}
+
 void event_scanner::restart()
 {
     m_rest.clear();
+    m_lineStart = 0;
+    m_hasField = false;
+    m_countAtRestart = m_count;
     m_isResumed = true;
 }
 
--- a/packages/gateway/lib/exchange.h
+++ b/packages/gateway/lib/exchange.h
@@ -104,10 +104,16 @@
     bool isBeginning(instant now) const;
     void samplePace(instant now);
     void onBody(std::string_view bytes);
+    void onEvents(std::string_view events);
     void onComplete();
+    /// The stream's message is complete; the stream itself may not be.
+    void onStreamEnd();
     void onFailure(link_failure how, bool sent);
+    /// The answer of an attempt that may have run broke off.
+    /// \param connectionEnded: its connection ended too early, as at the end of the target's process.
+    void onBrokenOff(std::string_view how, bool connectionEnded);
+    void logBreak(std::string_view how);
     void relay(std::string_view events);
-    void finishStream();
     void relayWholeAnswer();
     void endAttempt();
     void handleAttemptEnd(attempt_outcome outcome);
--- a/packages/gateway/lib/exchange_attempts.cpp
+++ b/packages/gateway/lib/exchange_attempts.cpp
@@ -144,16 +144,20 @@
 
 void exchange::onBody(std::string_view bytes)
 {
-    const instant now = loopNow();
     if (!m_attempt->relaysEvents) {
-        m_attempt->lastByteAt = now;
+        m_attempt->lastByteAt = loopNow();
         m_attempt->body.append(bytes);
         return;
     }
     const std::string events = m_eventScanner.feed(bytes);
-    if (events.empty()) {
-        return;
+    if (!events.empty()) {
+        onEvents(events);
     }
+}
+
+void exchange::onEvents(std::string_view events)
+{
+    const instant now = loopNow();
     onPromptProcessed();
     m_attempt->firstEventAt = std::min(m_attempt->firstEventAt, now);
     if (m_streamStarted) {
@@ -225,7 +229,7 @@
     if (facts.notRun || facts.wrongTarget) {
         handleAttemptEnd(attempt_outcome::NotRun);
     } else if (m_attempt->relaysEvents) {
-        finishStream();
+        onStreamEnd();
     } else if (promises || (good && !facts.signedByTarget)) {
         // An answer like this from a target that doesn't state that the request wasn't run leaves that open.
         handleAttemptEnd(attempt_outcome::Broken);
@@ -237,9 +241,20 @@
     }
 }
 
-void exchange::finishStream()
+void exchange::onStreamEnd()
 {
+    const answer_framing framing = m_attempt->head.framing;
+    const std::string events = m_eventScanner.finish();
+    if (!events.empty()) {
+        onEvents(events);
+    }
+    const stream_end end = m_eventScanner.end(framing);
+    if (end != stream_end::Whole) {
+        onBrokenOff(nameOf(end), framing == answer_framing::Connection);
+        return;
+    }
     m_gateway.m_pool.succeeded(loopNow(), m_attempt->target);
+    // What is left is no event: comments.
     const std::string rest = m_eventScanner.rest();
     if (!m_streamStarted || !rest.empty()) {
         relay(rest);
@@ -268,6 +283,29 @@
 }
 
 void exchange::onFailure(link_failure how, bool sent)
+{
+    if (sent) {
+        onBrokenOff(nameOf(how), how == link_failure::Reset || how == link_failure::Closed);
+        return;
+    }
+    logBreak(nameOf(how));
+    if (how == link_failure::Refused) {
+        m_gateway.noteUnreachable(m_attempt->target);
+    }
+    m_gateway.m_pool.avoid(loopNow(), m_attempt->target, unreachableAvoidance);
+    handleAttemptEnd(attempt_outcome::NotSent);
+}
+
+void exchange::onBrokenOff(std::string_view how, bool connectionEnded)
+{
+    logBreak(how);
+    if (connectionEnded && isBeginning(loopNow())) {
+        m_gateway.attemptBroke(*this, m_attempt->target);
+    }
+    handleAttemptEnd(attempt_outcome::Broken);
+}
+
+void exchange::logBreak(std::string_view how)
 {
     const instant now = loopNow();
     m_gateway.m_log.writeRequest(now,
@@ -280,18 +318,6 @@
                                      .with("unfinished-bytes", m_eventScanner.rest().size())
                                      .with("fingerprint", textOf(fingerprint()))
                                      .with("after-ms", std::chrono::duration_cast<milliseconds>(now - m_attempt->sentAt)));
-    if (how == link_failure::Refused) {
-        m_gateway.noteUnreachable(m_attempt->target);
-    }
-    if (!sent) {
-        m_gateway.m_pool.avoid(now, m_attempt->target, unreachableAvoidance);
-        handleAttemptEnd(attempt_outcome::NotSent);
-        return;
-    }
-    if ((how == link_failure::Reset || how == link_failure::Closed) && isBeginning(now)) {
-        m_gateway.attemptBroke(*this, m_attempt->target);
-    }
-    handleAttemptEnd(attempt_outcome::Broken);
 }
 
 void exchange::handleAttemptEnd(attempt_outcome outcome)
--- a/packages/gateway/unittests/answer_world.h
+++ b/packages/gateway/unittests/answer_world.h
@@ -11,6 +11,7 @@
 #include <fcntl.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <string>
 #include <vector>
 
@@ -123,6 +124,25 @@
         return answer;
     }
 
+    bool hasFailedTarget()
+    {
+        const auto &targets = m_gateway.pool().targets();
+        return std::any_of(targets.begin(), targets.end(), [](const auto &one) {
+            return one.second.failureShare > 0;
+        });
+    }
+
+    /// \return whether a death of a target accuses the request; gives up after a time in which it would.
+    bool waitForCrashReport()
+    {
+        bool isAccused = false;
+        runUntil([this, &isAccused, until = loopNow() + milliseconds(300)] {
+            isAccused = m_gateway.quarantineMetrics().find("fuchsialoom_crash_reports 1\n") != std::string::npos;
+            return isAccused || loopNow() >= until;
+        });
+        return isAccused;
+    }
+
     gateway &requestPath()
     {
         return m_gateway;
--- a/packages/gateway/unittests/scripted_target.h
+++ b/packages/gateway/unittests/scripted_target.h
@@ -21,6 +21,7 @@
     Close, ///< in order
     Reset,
     Stay,
+    Exit, ///< in order, and no further connection is accepted
 };
 
 template<>
@@ -30,6 +31,7 @@
         {connection_end::Close, "close"},
         {connection_end::Reset, "reset"},
         {connection_end::Stay, "stay"},
+        {connection_end::Exit, "exit"},
     });
 };
 
@@ -44,8 +46,7 @@
 public:
     /// One answer for each request, over all connections in order; the last one repeats.
     scripted_target(asio::io_context &loop, std::vector<scripted_answer> answers)
-        : m_loop(loop)
-        , m_acceptor(loop, {asio::ip::address_v4::loopback(), 0})
+        : m_acceptor(loop, {asio::ip::address_v4::loopback(), 0})
         , m_answers(std::move(answers))
     {
         accept();
@@ -103,7 +104,7 @@
     }
 
     /// The end follows the bytes after a pause, as a reset may discard what its receiver hasn't read.
-    static void answer(const std::shared_ptr<connection> &one, const scripted_answer &with)
+    void answer(const std::shared_ptr<connection> &one, const scripted_answer &with)
     {
         static constexpr milliseconds pause{5};
         asio::error_code ignored;
@@ -111,6 +112,9 @@
         if (with.end == connection_end::Stay) {
             return;
         }
+        if (with.end == connection_end::Exit) {
+            m_acceptor.close(ignored);
+        }
         one->endTimer.expires_after(pause);
         one->endTimer.async_wait([one, end = with.end](const asio::error_code &) {
             asio::error_code failed;
@@ -121,7 +125,6 @@
         });
     }
 
-    asio::io_context &m_loop;
     asio::ip::tcp::acceptor m_acceptor;
     std::vector<scripted_answer> m_answers;
     std::vector<std::string> m_received;
