Callers of HTTP/1.0: a stream without chunks, and a reset where it breaks off

Cause: a stream was sent in chunks whatever the caller speaks, so a caller of HTTP/1.0 read the sizes of the chunks as part of it, and the end of the connection as its end, whole or not. The member for the other form existed and was never set.

Change: a request tells whether its caller takes chunks. Without them a stream ends with its connection, which from the head to the stream's end is closed by a reset, also by the kernel if the process ends.

--- a/packages/gateway/unittests/answer_ends_test.cpp
+++ b/packages/gateway/unittests/answer_ends_test.cpp
@@ -325,6 +325,21 @@
     EXPECT_FALSE(world.waitForCrashReport());
 }
 
+TEST(answer_ends_test, callerWithoutChunksSeesTheBreak)
+{
+    const std::string head = signedHead + "Transfer-Encoding: chunked\r\n\r\n" + chunk(eventsUpTo(2));
+    answer_world whole(request_kind::Stream, false, {{head + "0\r\n\r\n"}});
+    const caller_answer complete = whole.ask("HTTP/1.0");
+    expectWhole(complete, eventsUpTo(2));
+    EXPECT_EQ(complete.end, connection_end::Close);
+    for (const connection_end end : {connection_end::Close, connection_end::Reset}) {
+        answer_world broken(request_kind::Stream, false, {{head, end}});
+        const caller_answer answer = broken.ask("HTTP/1.0");
+        EXPECT_EQ(answer.end, connection_end::Reset);
+        EXPECT_FALSE(answer.complete);
+    }
+}
+
 /// Streams of many shapes and framings, cut into pieces anywhere, are passed on byte for byte.
 TEST(answer_ends_test, wholeStreamsAreNeverCalledBroken)
 {
--- a/packages/http/include/fuchsialoom/http/caller_link.h
+++ b/packages/http/include/fuchsialoom/http/caller_link.h
@@ -64,7 +64,7 @@
     void startStream(int status, header_list headers);
     void sendPart(std::string_view bytes);
     void endStream();
-    /// Closes the connection, so that an answer under way can't look complete.
+    /// Ends the connection, so that an answer under way can't look complete.
     void abort();
     /// @}
 
@@ -94,6 +94,8 @@
     void sendHead(int status, const header_list &headers, std::string_view framing);
     void queue(std::string_view bytes);
     void flush();
+    /// Whether closing the socket resets the connection.
+    void setResetOnClose(bool resets);
     void onAnswered();
     void onLost();
     void watchTime();
--- a/packages/http/include/fuchsialoom/http/request_reader.h
+++ b/packages/http/include/fuchsialoom/http/request_reader.h
@@ -21,6 +21,7 @@
     header_list headers; ///< as sent, those of the connection included
     std::string body; ///< without its framing
     bool keepAlive = true;
+    bool takesChunks = true; ///< the caller reads chunked answers: it speaks HTTP/1.1
 
     /// The target up to its query.
     std::string_view path() const;
--- a/packages/http/lib/caller_link.cpp
+++ b/packages/http/lib/caller_link.cpp
@@ -140,7 +140,7 @@
     m_answering = true;
     m_continued = false;
     m_keepAlive = request.keepAlive;
-    m_chunks = true;
+    m_chunks = request.takesChunks;
     m_toHead = request.method == "HEAD";
     m_waitUntil = farFuture;
     const auto self = shared_from_this();
@@ -196,7 +196,15 @@
     }
     m_streaming = true;
     headers.erase("Content-Length");
-    sendHead(status, headers, "Transfer-Encoding: chunked\r\n");
+    if (m_chunks) {
+        sendHead(status, headers, "Transfer-Encoding: chunked\r\n");
+        return;
+    }
+    // The stream is whole if the connection ends in order, so until its end any other way to close it, the end of this
+    // process included, has to reset it.
+    setResetOnClose(true);
+    m_keepAlive = false;
+    sendHead(status, headers, {});
 }
 
 void caller_link::sendPart(std::string_view bytes)
@@ -205,6 +213,10 @@
     if (m_closed || bytes.empty()) {
         return;
     }
+    if (!m_chunks) {
+        queue(bytes);
+        return;
+    }
     std::array<char, 24> size{};
     const int written = std::snprintf(size.data(), size.size(), "%zx\r\n", bytes.size());
     m_next.append(size.data(), static_cast<std::size_t>(written)).append(bytes).append("\r\n");
@@ -218,10 +230,20 @@
         return;
     }
     m_streaming = false;
-    queue("0\r\n\r\n");
+    if (!m_chunks) {
+        setResetOnClose(false);
+    } else {
+        queue("0\r\n\r\n");
+    }
     onAnswered();
 }
 
+void caller_link::setResetOnClose(bool resets)
+{
+    asio::error_code ignored; // fails only if the connection is lost already
+    m_socket.set_option(asio::socket_base::linger(resets, 0), ignored);
+}
+
 void caller_link::abort()
 {
     m_onGone = nullptr;
--- a/packages/http/lib/request_reader.cpp
+++ b/packages/http/lib/request_reader.cpp
@@ -212,6 +212,7 @@
             parser->upgrade = 0;
             const header_list &headers = reader.request.headers;
             const bool isHttp11 = parser->http_major == 1 && parser->http_minor == 1;
+            reader.request.takesChunks = isHttp11;
             if (parser->http_major != 1 || parser->method == HTTP_CONNECT || headers.count("Host") != 1
                 || !reader.request.target.starts_with('/')) {
                 reader.problem = reading_problem::Malformed;
--- a/packages/http/unittests/caller_link_test.cpp
+++ b/packages/http/unittests/caller_link_test.cpp
@@ -70,6 +70,7 @@
             const std::size_t size = m_caller.read_some(asio::buffer(bytes), problem);
             if (problem) {
                 m_closed = problem != asio::error::would_block;
+                m_reset = problem == asio::error::connection_reset;
                 return text;
             }
             text.append(bytes.data(), size);
@@ -84,11 +85,13 @@
     bool m_answerAtOnce = true;
     bool m_gone = false;
     bool m_closed = false;
+    bool m_reset = false;
     caller_listener m_listener;
     asio::ip::tcp::socket m_caller;
 };
 
 constexpr const char *plainRequest = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
+constexpr const char *oldRequest = "GET /a HTTP/1.0\r\nHost: h\r\nConnection: keep-alive\r\n\r\n";
 
 } // namespace
 
@@ -204,4 +207,36 @@
     EXPECT_TRUE(m_closed);
 }
 
+TEST_F(caller_link_test, aStreamToAnOldCallerHasNoChunks)
+{
+    m_answerAtOnce = false;
+    write(oldRequest);
+    ASSERT_TRUE(m_link);
+    m_link->startStream(200, {});
+    m_link->sendPart("id: 1\n\n");
+    m_link->sendPart("id: 2\n\n");
+    m_link->endStream();
+    runFor(milliseconds(30));
+    const std::string text = read();
+    EXPECT_TRUE(text.ends_with("\r\n\r\nid: 1\n\nid: 2\n\n")) << text;
+    EXPECT_EQ(text.find("Transfer-Encoding"), std::string::npos);
+    EXPECT_TRUE(m_closed);
+    EXPECT_FALSE(m_reset);
+}
+
+/// An orderly end would make the stream look complete to a caller without chunks.
+TEST_F(caller_link_test, aBrokenStreamToAnOldCallerEndsInAReset)
+{
+    m_answerAtOnce = false;
+    write(oldRequest);
+    ASSERT_TRUE(m_link);
+    m_link->startStream(200, {});
+    m_link->sendPart("id: 1\n\n");
+    m_link->abort();
+    runFor(milliseconds(30));
+    read();
+    EXPECT_TRUE(m_closed);
+    EXPECT_TRUE(m_reset);
+}
+
 } // namespace fuchsialoom
