Answer to HEAD on a route of streams: no chunks follow its head

Cause: startStream, sendPart and endStream, unlike respond, wrote a body after the head of an answer to HEAD: at least the last chunk, which a caller takes for the start of its next answer. Found by reading while the ends of answers were listed.

Result: caller_link_test.aStreamThatAnswersAHeadHasNoBody was red, is green.

--- a/packages/http/lib/caller_link.cpp
+++ b/packages/http/lib/caller_link.cpp
@@ -210,7 +210,7 @@
 void caller_link::sendPart(std::string_view bytes)
 {
     assert(m_streaming);
-    if (m_closed || bytes.empty()) {
+    if (m_closed || bytes.empty() || m_toHead) {
         return;
     }
     if (!m_chunks) {
@@ -232,7 +232,7 @@
     m_streaming = false;
     if (!m_chunks) {
         setResetOnClose(false);
-    } else {
+    } else if (!m_toHead) {
         queue("0\r\n\r\n");
     }
     onAnswered();
--- a/packages/http/unittests/caller_link_test.cpp
+++ b/packages/http/unittests/caller_link_test.cpp
@@ -239,4 +239,18 @@
     EXPECT_TRUE(m_reset);
 }
 
+TEST_F(caller_link_test, aStreamThatAnswersAHeadHasNoBody)
+{
+    m_answerAtOnce = false;
+    write("HEAD /a HTTP/1.1\r\nHost: h\r\n\r\n");
+    ASSERT_TRUE(m_link);
+    m_link->startStream(200, {});
+    m_link->sendPart("id: 1\n\n");
+    m_link->endStream();
+    runFor(milliseconds(30));
+    const std::string text = read();
+    EXPECT_TRUE(text.ends_with("\r\n\r\n")) << text;
+    EXPECT_EQ(text.find("\r\n\r\n"), text.size() - 4) << text;
+}
+
 } // namespace fuchsialoom
