Stand-ins: answers with neither length nor chunks, closed in order or reset

The callers of the process tests took a reset for the end of an answer without length: now only an orderly close ends one.

--- a/packages/http/include/fuchsialoom/http/caller_link.h
+++ b/packages/http/include/fuchsialoom/http/caller_link.h
@@ -21,6 +21,12 @@
 
 class caller_link;
 
+/// What marks the end of a stream to a caller.
+enum class stream_framing {
+    Chunks, ///< the last chunk, for callers that take chunks
+    Connection, ///< the orderly end of the connection
+};
+
 /// How long a caller may take, and how much it may send. Durations, since they come from a
 /// configuration; each connection makes deadlines of them.
 struct caller_limits
@@ -61,7 +67,7 @@
     /// endStream().
     /// @{
     void respond(int status, header_list headers, std::string_view body);
-    void startStream(int status, header_list headers);
+    void startStream(int status, header_list headers, stream_framing framing = stream_framing::Chunks);
     void sendPart(std::string_view bytes);
     void endStream();
     /// Ends the connection, so that an answer under way can't look complete.
@@ -115,7 +121,7 @@
     bool m_answering = false;
     bool m_streaming = false;
     bool m_toHead = false; ///< the request is a HEAD: no body is sent
-    bool m_chunks = true; ///< the stream is sent in chunks; else it ends with the connection
+    bool m_chunks = true; ///< a stream is sent in chunks; else it ends with the connection
     bool m_keepAlive = true;
     bool m_draining = false;
     bool m_closing = false; ///< to be closed when everything is written
--- a/packages/http/lib/caller_link.cpp
+++ b/packages/http/lib/caller_link.cpp
@@ -188,13 +188,14 @@
     onAnswered();
 }
 
-void caller_link::startStream(int status, header_list headers)
+void caller_link::startStream(int status, header_list headers, stream_framing framing)
 {
     assert(m_answering && !m_streaming);
     if (m_closed) {
         return;
     }
     m_streaming = true;
+    m_chunks = m_chunks && framing == stream_framing::Chunks;
     headers.erase("Content-Length");
     if (m_chunks) {
         sendHead(status, headers, "Transfer-Encoding: chunked\r\n");
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -185,6 +185,53 @@
     EXPECT_EQ(runsOf("e1", "b1"), 1);
 }
 
+TEST_F(platform_test, aStreamWithoutFramingThatIsClosedInsideAnEventEndsBroken)
+{
+    startSmall();
+    for (const target_fault fault : {target_fault::CloseInEvent, target_fault::ResetInEvent}) {
+        setFault("e1", fault);
+        const std::string id = "b" + std::to_string(static_cast<int>(fault));
+        const platform_answer answer = m_world.ask(m_vm, {.id = id});
+        EXPECT_EQ(answer.status, 200);
+        EXPECT_FALSE(answer.complete);
+        EXPECT_EQ(answer.body, wholeStream(1));
+        EXPECT_EQ(runsOf("e1", id), 1);
+        EXPECT_FALSE(m_world.ask(m_vm, {.id = id + "-old", .version = "HTTP/1.0"}).complete);
+    }
+}
+
+TEST_F(platform_test, aStreamWithoutFramingIsWhole)
+{
+    m_world.configure(1);
+    m_world.addTarget({.id = "e1", .service = "models", .models = {"m1"}, .isUnframed = true});
+    m_vm = m_world.startVm();
+    ASSERT_TRUE(m_world.waitReady(m_vm));
+    for (const std::string version : {"HTTP/1.1", "HTTP/1.0"}) {
+        const platform_answer answer = m_world.ask(m_vm, {.id = "s-" + version.substr(5), .version = version});
+        EXPECT_TRUE(answer.complete);
+        EXPECT_EQ(answer.body, wholeStream(4));
+    }
+}
+
+/// The kernel closes the connections of a process that is killed, and a caller of HTTP/1.0 takes an orderly end for the stream's.
+TEST_F(platform_test, aKilledVmLeavesNoStreamThatLooksComplete)
+{
+    startSmall();
+    m_world.call([&] {
+        m_world.target("e1").setEventPause(milliseconds(300));
+    });
+    for (const std::string version : {"HTTP/1.0", "HTTP/1.1"}) {
+        const std::string vm = m_world.startVm();
+        ASSERT_TRUE(m_world.waitReady(vm));
+        asio::ip::tcp::socket caller = m_world.send(vm, {.id = "k-" + version.substr(5), .version = version});
+        std::this_thread::sleep_for(std::chrono::milliseconds(450));
+        m_world.vm(vm).kill();
+        const platform_answer answer = platform_world::receive(caller);
+        EXPECT_EQ(answer.status, 200);
+        EXPECT_FALSE(answer.complete);
+    }
+}
+
 TEST_F(platform_test, aBrokenStreamGoesOnAtAnotherEngineWithoutAHoleOrADouble)
 {
     m_world.configure(1, 2, true);
--- a/tests/platform_world.cpp
+++ b/tests/platform_world.cpp
@@ -164,8 +164,8 @@
 {
     asio::ip::tcp::socket socket(m_callers);
     socket.connect(endpointOf(m_vms.at(vm).callers));
-    std::string head = request.method + " " + request.path + " HTTP/1.1\r\nHost: " + request.host + "\r\nX-Request-Id: " + request.id
-        + "\r\nX-Deadline-Ms: " + std::to_string(request.deadlineMs) + "\r\n" + request.more;
+    std::string head = request.method + " " + request.path + ' ' + request.version + "\r\nHost: " + request.host
+        + "\r\nX-Request-Id: " + request.id + "\r\nX-Deadline-Ms: " + std::to_string(request.deadlineMs) + "\r\n" + request.more;
     if (!request.model.empty()) {
         head += "X-Model: " + request.model + "\r\n";
     }
@@ -195,6 +195,9 @@
     while (!answer.complete) {
         asio::error_code problem;
         const std::size_t size = socket.read_some(asio::buffer(bytes), problem);
+        if (problem && problem != asio::error::eof) {
+            break; // a reset completes nothing
+        }
         const answer_progress progress = problem ? reader.finish() : reader.consume(std::string_view(bytes.data(), size));
         answer.body += progress.body;
         answer.complete = progress.complete;
--- a/tests/platform_world.h
+++ b/tests/platform_world.h
@@ -26,7 +26,7 @@
     int status = 0; ///< 0: none
     std::string head;
     std::string body; ///< without its framing
-    bool complete = false; ///< ended as its framing says
+    bool complete = false; ///< ended as its framing says; without length and chunks: by an orderly close
 
     /// The value of a field of the head, or nothing where it isn't there.
     std::string field(const std::string &name) const;
@@ -41,6 +41,7 @@
     std::string model = "m1";
     int deadlineMs = 8000;
     std::string more{}; ///< further head lines, each with its line end
+    std::string version = "HTTP/1.1";
 };
 
 class platform_world
