Own engine client: tests of answers with neither length nor chunks

A call's answer that is reset is lost, one that is closed in order is complete; a stream is whole by its finish frame alone, whatever ends the message. Both held already.

--- a/packages/wire/unittests/engine_client_test.cpp
+++ b/packages/wire/unittests/engine_client_test.cpp
@@ -9,6 +9,10 @@
 #include <future>
 #include <thread>
 
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 using namespace fuchsialoom;
 
 /// Long enough that only a defect reaches it.
@@ -91,6 +95,70 @@
 
 } // namespace
 
+namespace
+{
+
+/// A target that answers one connection with given bytes and ends it.
+class one_answer_target
+{
+public:
+    one_answer_target(std::string bytes, bool resets)
+        : m_listener(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+    {
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t size = sizeof address;
+        EXPECT_EQ(::bind(m_listener, reinterpret_cast<sockaddr *>(&address), size), 0);
+        EXPECT_EQ(::listen(m_listener, 1), 0);
+        EXPECT_EQ(::getsockname(m_listener, reinterpret_cast<sockaddr *>(&address), &size), 0);
+        m_port = ntohs(address.sin_port);
+        m_thread = std::jthread([this, bytes = std::move(bytes), resets] {
+            answer(bytes, resets);
+        });
+    }
+
+    ~one_answer_target()
+    {
+        m_thread.join();
+        ::close(m_listener);
+    }
+
+    one_answer_target(const one_answer_target &) = delete;
+    one_answer_target &operator=(const one_answer_target &) = delete;
+
+    engine_client client() const
+    {
+        return engine_client(endpoint{"127.0.0.1", m_port});
+    }
+
+private:
+    void answer(const std::string &bytes, bool resets) const
+    {
+        const int connection = ::accept(m_listener, nullptr, nullptr);
+        std::array<char, 4096> request{};
+        std::string received;
+        while (!received.ends_with("\r\n\r\n") && !received.ends_with("body")) {
+            const ssize_t size = ::recv(connection, request.data(), request.size(), 0);
+            if (size <= 0) {
+                break;
+            }
+            received.append(request.data(), static_cast<std::size_t>(size));
+        }
+        ::send(connection, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+        std::this_thread::sleep_for(milliseconds(5)); // a reset may discard what its receiver hasn't read
+        const linger reset{resets ? 1 : 0, 0};
+        ::setsockopt(connection, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
+        ::close(connection);
+    }
+
+    int m_listener;
+    std::uint16_t m_port = 0;
+    std::jthread m_thread;
+};
+
+} // namespace
+
 static std::string tokenEvent(const std::string &stream, int offset)
 {
     return "data: {\"stream\":\"" + stream + "\",\"attempt\":1,\"offset\":" + std::to_string(offset) + ",\"text\":\"t\"}\n\n";
@@ -198,6 +266,29 @@
     EXPECT_EQ(answer.body, R"({"outcome":7})");
 }
 
+TEST(engine_client, aCallWithoutFramingThatIsResetIsLost)
+{
+    target_request request;
+    request.body = "body";
+    for (const bool resets : {true, false}) {
+        const one_answer_target target("HTTP/1.1 200 OK\r\n\r\nhalf", resets);
+        const plain_answer answer = target.client().call(service_id("s"), request, deadlineIn(longTime));
+        EXPECT_EQ(answer.end, resets ? attempt_end::Lost : attempt_end::Completed);
+    }
+}
+
+TEST(engine_client, aStreamWithoutFramingIsWholeByItsFinishOnly)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\n\r\n" + tokenEvent("r", 0);
+    for (const std::string &rest : {std::string(), finishEvent("r", 1).substr(0, 30), finishEvent("r", 1)}) {
+        int frames = 0;
+        const one_answer_target target(head + rest, false);
+        const bool isWhole = rest.ends_with("\n\n");
+        EXPECT_EQ(followCounting(target.client(), longTime, longTime, frames), isWhole ? attempt_end::Completed : attempt_end::Lost);
+        EXPECT_EQ(frames, isWhole ? 2 : 1);
+    }
+}
+
 TEST(engine_client, aCallThatTricklesEndsByItsDeadline)
 {
     fake_target target;
