--- a/packages/gateway/include/fuchsialoom/gateway/event_scanner.h
+++ b/packages/gateway/include/fuchsialoom/gateway/event_scanner.h
@@ -43,7 +43,7 @@
 
     /// Judges the stream after finish(). A connection that is closed in order ends an answer with neither length nor chunks, and
     /// may end one that its target had to break off.
-    stream_end end(answer_framing framing) const;
+    stream_end judge(answer_framing framing) const;
 
     /// Prepares for the stream of another attempt, which resumes after the last event.
     void restart();
--- a/packages/gateway/lib/event_scanner.cpp
+++ b/packages/gateway/lib/event_scanner.cpp
@@ -103,7 +103,7 @@
     return scan(true);
 }
 
-stream_end event_scanner::end(answer_framing framing) const
+stream_end event_scanner::judge(answer_framing framing) const
 {
     if (m_hasField || m_lineStart < m_rest.size()) {
         return stream_end::InsideEvent;
--- a/packages/gateway/lib/exchange_attempts.cpp
+++ b/packages/gateway/lib/exchange_attempts.cpp
@@ -248,7 +248,7 @@
     if (!events.empty()) {
         onEvents(events);
     }
-    const stream_end end = m_eventScanner.end(framing);
+    const stream_end end = m_eventScanner.judge(framing);
     if (end != stream_end::Whole) {
         onBrokenOff(nameOf(end), framing == answer_framing::Connection);
         return;
--- a/packages/gateway/unittests/event_scanner_test.cpp
+++ b/packages/gateway/unittests/event_scanner_test.cpp
@@ -101,7 +101,7 @@
     RC_ASSERT(passed + scanner.rest() == stream.text + tail);
     RC_ASSERT(scanner.count() == stream.eventStarts.size());
     for (const answer_framing framing : {answer_framing::Length, answer_framing::Chunks, answer_framing::Connection}) {
-        RC_ASSERT(scanner.end(framing) == stream_end::Whole);
+        RC_ASSERT(scanner.judge(framing) == stream_end::Whole);
     }
 }
 
@@ -119,8 +119,8 @@
     event_scanner scanner;
     const std::string passed = feedInPieces(scanner, cut);
     RC_ASSERT(passed == stream.text.substr(0, stream.eventStarts.back()));
-    RC_ASSERT(scanner.end(answer_framing::Chunks) == stream_end::InsideEvent);
-    RC_ASSERT(scanner.end(answer_framing::Connection) == stream_end::InsideEvent);
+    RC_ASSERT(scanner.judge(answer_framing::Chunks) == stream_end::InsideEvent);
+    RC_ASSERT(scanner.judge(answer_framing::Connection) == stream_end::InsideEvent);
 }
 
 TEST(event_scanner, eventWithoutItsEmptyLineIsBroken)
@@ -129,7 +129,7 @@
         event_scanner scanner;
         const std::string event = std::string("id: 1") + lineEnd + "data: a" + lineEnd;
         EXPECT_EQ(scanner.feed(event) + scanner.finish(), "");
-        EXPECT_EQ(scanner.end(answer_framing::Length), stream_end::InsideEvent);
+        EXPECT_EQ(scanner.judge(answer_framing::Length), stream_end::InsideEvent);
     }
 }
 
@@ -139,9 +139,9 @@
         event_scanner scanner;
         scanner.feed(text);
         scanner.finish();
-        EXPECT_EQ(scanner.end(answer_framing::Connection), stream_end::NoEvent) << text;
-        EXPECT_EQ(scanner.end(answer_framing::Length), stream_end::Whole) << text;
-        EXPECT_EQ(scanner.end(answer_framing::Chunks), stream_end::Whole) << text;
+        EXPECT_EQ(scanner.judge(answer_framing::Connection), stream_end::NoEvent) << text;
+        EXPECT_EQ(scanner.judge(answer_framing::Length), stream_end::Whole) << text;
+        EXPECT_EQ(scanner.judge(answer_framing::Chunks), stream_end::Whole) << text;
     }
 }
 
@@ -151,10 +151,10 @@
     scanner.feed("id: 1\n\nid: 2\n\n");
     scanner.restart();
     scanner.feed("id: 1\n\nid: 2\n\n");
-    EXPECT_EQ(scanner.end(answer_framing::Connection), stream_end::NoEvent);
-    EXPECT_EQ(scanner.end(answer_framing::Chunks), stream_end::Whole);
+    EXPECT_EQ(scanner.judge(answer_framing::Connection), stream_end::NoEvent);
+    EXPECT_EQ(scanner.judge(answer_framing::Chunks), stream_end::Whole);
     scanner.feed("id: 3\n\n");
-    EXPECT_EQ(scanner.end(answer_framing::Connection), stream_end::Whole);
+    EXPECT_EQ(scanner.judge(answer_framing::Connection), stream_end::Whole);
 }
 
 } // namespace fuchsialoom
