--- a/packages/gateway/unittests/answer_ends_test.cpp
+++ b/packages/gateway/unittests/answer_ends_test.cpp
@@ -287,7 +287,9 @@
     const scripted_answer first{signedHead + "\r\n" + eventsUpTo(2) + "id: 3\n", connection_end::Close};
     for (const std::string &rest :
          {std::string(), std::string("id: 3\ndata"), eventsUpTo(2), eventsUpTo(3, 3) + "id: 4\ndata: token-4\n"}) {
-        answer_world world(request_kind::Stream, true, {first, {signedHead + "\r\n" + rest, connection_end::Close}});
+        std::string second = signedHead;
+        second.append("\r\n").append(rest);
+        answer_world world(request_kind::Stream, true, {first, {second, connection_end::Close}});
         const caller_answer answer = world.ask();
         EXPECT_FALSE(answer.complete) << rest;
         EXPECT_TRUE(eventsUpTo(lastEvent).starts_with(answer.body)) << rest;
@@ -327,7 +329,8 @@
 
 TEST(answer_ends_test, callerWithoutChunksSeesTheBreak)
 {
-    const std::string head = signedHead + "Transfer-Encoding: chunked\r\n\r\n" + chunk(eventsUpTo(2));
+    std::string head = signedHead + "Transfer-Encoding: chunked\r\n\r\n";
+    head += chunk(eventsUpTo(2));
     answer_world whole(request_kind::Stream, false, {{head + "0\r\n\r\n"}});
     const caller_answer complete = whole.ask("HTTP/1.0");
     expectWhole(complete, eventsUpTo(2));
@@ -366,10 +369,19 @@
             chunks += chunk(stream.substr(at, size));
             at += size;
         }
-        const std::string answers[] = {signedHead + "\r\n" + stream,
-                                       signedHead + "Content-Length: " + std::to_string(stream.size()) + "\r\n\r\n" + stream,
-                                       signedHead + "Transfer-Encoding: chunked\r\n\r\n" + chunks + "0\r\n\r\n"};
-        answer_world world(request_kind::Stream, false, {{answers[random() % std::size(answers)], connection_end::Close}});
+        std::string answer = signedHead;
+        switch (random() % 3) {
+        case 0:
+            answer.append("\r\n").append(stream);
+            break;
+        case 1:
+            answer.append("Content-Length: ").append(std::to_string(stream.size())).append("\r\n\r\n").append(stream);
+            break;
+        default:
+            answer.append("Transfer-Encoding: chunked\r\n\r\n").append(chunks).append("0\r\n\r\n");
+            break;
+        }
+        answer_world world(request_kind::Stream, false, {{answer, connection_end::Close}});
         SCOPED_TRACE("seed " + std::to_string(seed));
         expectWhole(world.ask(), stream);
     }
