--- a/packages/gateway/unittests/answer_ends_test.cpp
+++ b/packages/gateway/unittests/answer_ends_test.cpp
@@ -347,7 +347,7 @@
 TEST(answer_ends_test, wholeStreamsAreNeverCalledBroken)
 {
     static constexpr unsigned seeds = 200;
-    static constexpr const char *lineEnds[] = {"\n", "\r\n"};
+    static constexpr const char *lineEnds[] = {"\n", "\r\n", "\r"};
     for (unsigned seed = 1; seed <= seeds; ++seed) {
         std::mt19937 random(seed);
         const std::string lineEnd = lineEnds[random() % std::size(lineEnds)];
