Gateway logs a target's silence, and whether another target could take the request over

A stalled attempt left only 'attempt-ended outcome=silent'; whether anybody was there to take the request over showed in no line. 'target-silent' says how long nothing came, what had come before, and the verdict on a takeover with its reason. No decision changes: the verdicts are what the code did, named; the timeouts moved to silence_rules.

--- a/packages/gateway/lib/exchange.cpp
+++ b/packages/gateway/lib/exchange.cpp
@@ -14,14 +14,6 @@
 
 /// Timeout of a request without a deadline; longer than any latency objective that users configure.
 static constexpr milliseconds defaultCallerTimeout{30000};
-/// Minimum time without received bytes after which an attempt is considered stalled. Healthy targets send the next
-/// event of a stream within 40 ms and the first within the objective; callers abandon a stream after 2 s.
-static constexpr milliseconds minStallTimeout{1000};
-/// Stall timeout of requests that are not streams, as a multiple of the objective. The slowest 1% of requests takes
-/// five times the mean, and the mean is a quarter of the objective.
-static constexpr int stallTimeoutObjectives = 3;
-/// Stall timeout of a started stream, as a multiple of the gap objective.
-static constexpr int stallTimeoutGaps = 4;
 /// Subtracted from the caller's timeout, which started when the caller sent the request.
 static constexpr milliseconds callerNetworkDelay{3};
 
@@ -372,15 +364,7 @@
 
 instant exchange::stallDeadline() const
 {
-    if (!m_attempt) {
-        return farFuture;
-    }
-    milliseconds stallTimeout = std::max(minStallTimeout, stallTimeoutObjectives * m_route.objective);
-    if (isStream()) {
-        stallTimeout = m_streamStarted ? std::max(minStallTimeout, stallTimeoutGaps * m_route.gapObjective)
-                                       : std::max(minStallTimeout, m_route.objective);
-    }
-    return m_attempt->lastByteAt + stallTimeout;
+    return m_attempt ? stalledFrom(m_route, m_streamStarted, m_attempt->lastByteAt) : farFuture;
 }
 
 void exchange::armTimer()
@@ -409,8 +393,9 @@
     }
     if (m_attempt && now >= stallDeadline()) {
         m_gateway.m_pool.avoid(now, m_attempt->target, unreachableAvoidance);
-        const bool attemptsLeft = m_history.targetsTried + 1 < m_history.attempts;
-        if (m_history.repeatable && attemptsLeft && m_gateway.retryBudgetFor(m_service).allows(now)) {
+        const takeover_verdict verdict = takeoverVerdict(now);
+        logSilence(now, verdict);
+        if (verdict == takeover_verdict::Possible || verdict == takeover_verdict::NoTarget) {
             onUnanswered();
             m_attempt->link->close();
             handleAttemptEnd(attempt_outcome::Silent);
@@ -422,6 +407,29 @@
     armTimer();
 }
 
+takeover_verdict exchange::takeoverVerdict(instant now) const
+{
+    takeover_facts facts;
+    facts.budgetAllows = m_gateway.retryBudgetFor(m_service).allows(now);
+    const takeover_verdict verdict = judgeTakeover(m_history, facts);
+    if (verdict != takeover_verdict::Possible) {
+        return verdict;
+    }
+    return m_gateway.m_pool.choose(now, query(), 0).target ? verdict : takeover_verdict::NoTarget;
+}
+
+void exchange::logSilence(instant now, takeover_verdict verdict) const
+{
+    m_gateway.m_log.writeRequest(now,
+                                 log_line("target-silent", m_facts.id)
+                                     .with("target", m_attempt->target)
+                                     .with("silent-ms", std::chrono::duration_cast<milliseconds>(now - m_attempt->lastByteAt))
+                                     .with("head", m_attempt->headReceived ? "yes" : "no")
+                                     .with("events", m_eventScanner.count())
+                                     .with("unfinished-bytes", m_eventScanner.rest().size())
+                                     .with("takeover", verdict));
+}
+
 void exchange::onDeadlineReached()
 {
     if (!m_attempt && !m_history.mayHaveRun) {
--- a/packages/gateway/lib/exchange.h
+++ b/packages/gateway/lib/exchange.h
@@ -5,6 +5,7 @@
 
 #include "fuchsialoom/gateway/event_scanner.h"
 #include "fuchsialoom/gateway/gateway.h"
+#include "fuchsialoom/gateway/silence_rules.h"
 #include "fuchsialoom/gateway/waiting_rules.h"
 
 #include <memory>
@@ -133,6 +134,9 @@
     void onTimer();
     void onDeadlineReached();
     instant stallDeadline() const;
+    /// Whether another target may take the request over now, and has room for it.
+    takeover_verdict takeoverVerdict(instant now) const;
+    void logSilence(instant now, takeover_verdict verdict) const;
     void recordRun();
     void finish(std::string_view result, std::string_view reason);
 
