--- a/tests/child_process.cpp
+++ b/tests/child_process.cpp
@@ -163,15 +163,24 @@
     return m_exit;
 }
 
-std::string child_process::output() const
+std::string child_process::outputFrom(off_t first, off_t size) const
 {
-    static constexpr off_t mostBytes = 4000;
-    const off_t size = lseek(m_output, 0, SEEK_END);
-    const off_t first = std::max<off_t>(0, size - mostBytes);
     std::string text(static_cast<std::size_t>(size - first), '\0');
     const ssize_t read = pread(m_output, text.data(), text.size(), first);
     text.resize(read < 0 ? 0 : static_cast<std::size_t>(read));
     return text;
 }
 
+std::string child_process::output() const
+{
+    static constexpr off_t mostBytes = 4000;
+    const off_t size = lseek(m_output, 0, SEEK_END);
+    return outputFrom(std::max<off_t>(0, size - mostBytes), size);
+}
+
+std::string child_process::wholeOutput() const
+{
+    return outputFrom(0, lseek(m_output, 0, SEEK_END));
+}
+
 } // namespace fuchsialoom
--- a/tests/child_process.h
+++ b/tests/child_process.h
@@ -46,8 +46,12 @@
     }
     /// The end of what it wrote.
     std::string output() const;
+    /// All that it wrote.
+    std::string wholeOutput() const;
 
 private:
+    std::string outputFrom(off_t first, off_t size) const;
+
     std::string m_name;
     pid_t m_pid = 0; ///< 0 once it was waited for
     int m_output = -1; ///< memory file with what it writes
--- a/tests/platform_world.cpp
+++ b/tests/platform_world.cpp
@@ -55,7 +55,14 @@
     });
 }
 
-void platform_world::configure(int version, int chatAttempts, bool resumable)
+void platform_world::listTarget(const std::string &id, const std::string &state)
+{
+    call([&] {
+        m_store->put("keyed.servers", id, state.empty() ? "" : m_targets.at(id)->entry(state));
+    });
+}
+
+nlohmann::json platform_world::configurationOf(int version, int chatAttempts, bool resumable)
 {
     const auto routeOf = [](const std::string &prefix, const std::string &kind, const std::string &service, int attempts) {
         return nlohmann::json{{"name", "r" + prefix},
@@ -78,14 +85,24 @@
         {"slots", 8}, {"kv_capacity", 10000}, {"mb", 220000}, {"adapter_slots", 4}, {"loads_per_s", 10}, {"models", {model, other}}};
     nlohmann::json open = routeOf("/open/", "idempotent", "plain", 1);
     open["public"] = true;
-    nlohmann::json configuration{
+    return nlohmann::json{
         {"version", version},
         {"routes", {chat, routeOf("/post/", "non_idempotent", "plain", 1), routeOf("/get/", "idempotent", "plain", 2), open}},
         {"services", {{{"name", "models"}, {"engine", engine}}, {{"name", "plain"}}}},
         {"limits", {{"max_header_bytes", 16384}, {"max_body_bytes", 100000}, {"header_timeout_ms", 3000}, {"idle_timeout_ms", 15000}}}};
+}
+
+void platform_world::configure(int version, int chatAttempts, bool resumable)
+{
+    nlohmann::json configuration = configurationOf(version, chatAttempts, resumable);
     if (!m_teams.is_null()) {
         configuration["tenants"] = m_teams;
     }
+    configure(configuration);
+}
+
+void platform_world::configure(const nlohmann::json &configuration)
+{
     call([&] {
         m_store->put("keyed.op", "config", configuration.dump());
     });
@@ -117,10 +134,16 @@
                                   {"limits", {{"max_fds", 4096}}},
                                   {"bounds", {{"lease_ms", 500}, {"grace_s", 8}}}};
     std::ofstream(made.settings) << settings.dump();
-    made.process = std::make_unique<child_process>(name, "tools/fuchsialoomd", std::vector<std::string>{"--config=" + made.settings});
+    restartVm(name);
     return name;
 }
 
+void platform_world::restartVm(const std::string &name)
+{
+    vm_entry &entry = m_vms.at(name);
+    entry.process = std::make_unique<child_process>(name, "tools/fuchsialoomd", std::vector<std::string>{"--config=" + entry.settings});
+}
+
 static asio::ip::tcp::endpoint endpointOf(const std::string &address)
 {
     const std::size_t colon = address.find(':');
@@ -160,19 +183,36 @@
     });
 }
 
-asio::ip::tcp::socket platform_world::sendHead(const std::string &vm, const platform_request &request)
+asio::ip::tcp::socket platform_world::connect(const std::string &vm)
 {
     asio::ip::tcp::socket socket(m_callers);
     socket.connect(endpointOf(m_vms.at(vm).callers));
+    return socket;
+}
+
+void platform_world::sendHead(asio::ip::tcp::socket &socket, const platform_request &request)
+{
     std::string head = request.method + " " + request.path + ' ' + request.version + "\r\nHost: " + request.host
         + "\r\nX-Request-Id: " + request.id + "\r\nX-Deadline-Ms: " + std::to_string(request.deadlineMs) + "\r\n" + request.more;
     if (!request.model.empty()) {
         head += "X-Model: " + request.model + "\r\n";
     }
     asio::write(socket, asio::buffer(head + "Content-Length: " + std::to_string(requestBody.size()) + "\r\n\r\n"));
+}
+
+asio::ip::tcp::socket platform_world::sendHead(const std::string &vm, const platform_request &request)
+{
+    asio::ip::tcp::socket socket = connect(vm);
+    sendHead(socket, request);
     return socket;
 }
 
+void platform_world::sendOn(asio::ip::tcp::socket &socket, const platform_request &request)
+{
+    sendHead(socket, request);
+    sendBody(socket);
+}
+
 void platform_world::sendBody(asio::ip::tcp::socket &socket)
 {
     asio::write(socket, asio::buffer(requestBody));
--- a/tests/platform_world.h
+++ b/tests/platform_world.h
@@ -78,14 +78,25 @@
     /// where \p resumable.
     void configure(int version, int chatAttempts = 1, bool resumable = false);
 
+    /// Writes \p configuration.
+    void configure(const nlohmann::json &configuration);
+
+    /// What configure() writes without teams.
+    static nlohmann::json configurationOf(int version, int chatAttempts = 1, bool resumable = false);
+
     /// The teams of later configurations, as the platform writes them; none until called.
     void setTeams(nlohmann::json teams)
     {
         m_teams = std::move(teams);
     }
 
+    /// Writes the entry of the target \p id with \p state; removes it without one.
+    void listTarget(const std::string &id, const std::string &state);
+
     /// Starts a VM. \return its name. \p storePort: of a forwarder to the store; the store's own unless given.
     std::string startVm(const std::string &domain = "a", std::uint16_t storePort = 0);
+    /// Starts the VM \p name again, which has ended.
+    void restartVm(const std::string &name);
     child_process &vm(const std::string &name)
     {
         return *m_vms.at(name).process;
@@ -104,9 +115,16 @@
     /// An open connection to \p vm that has sent \p request.
     asio::ip::tcp::socket send(const std::string &vm, const platform_request &request);
 
+    /// Sends \p request on a connection that has carried others.
+    static void sendOn(asio::ip::tcp::socket &socket, const platform_request &request);
+
+    /// An open connection to \p vm.
+    asio::ip::tcp::socket connect(const std::string &vm);
+
     /// The same in two steps: all but the body, and the body, with which the request is whole.
     /// @{
     asio::ip::tcp::socket sendHead(const std::string &vm, const platform_request &request);
+    static void sendHead(asio::ip::tcp::socket &socket, const platform_request &request);
     static void sendBody(asio::ip::tcp::socket &socket);
     /// @}
 
