Tests: two targets that are silent for one request

Where a silent run stays open while another target is tried, both may deliver, break off, or be given up together. The tests play a silence that ends at the takeover, the places that the runs take, the retry budget, a caller who leaves, the deadline, the end of either connection, and SIGTERM.

--- a/tests/platform_silence_test.cpp
+++ b/tests/platform_silence_test.cpp
@@ -4,6 +4,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <chrono>
 #include <csignal>
 #include <future>
@@ -135,14 +136,14 @@
 class platform_silence : public testing::Test
 {
 protected:
-    static target_options engine(const std::string &id, const std::string &service = "models")
+    target_options engine(const std::string &id, const std::string &service = "models") const
     {
-        return {.id = id, .service = service, .models = {"m1", "m2"}, .events = events, .eventPause = eventPause, .slots = 20};
+        return {.id = id, .service = service, .models = {"m1", "m2"}, .events = events, .eventPause = eventPause, .slots = m_slots};
     }
 
-    static target_options plain(const std::string &id, const std::string &service = "plain")
+    target_options plain(const std::string &id, const std::string &service = "plain") const
     {
-        return {.id = id, .service = service, .isEngine = false, .slots = 20};
+        return {.id = id, .service = service, .isEngine = false, .slots = m_slots};
     }
 
     /// A VM and the targets "e1" and "p1".
@@ -265,6 +266,30 @@
         }
     }
 
+    int mostRunsAtOnce(const std::string &target)
+    {
+        std::vector<std::pair<steady_clock::time_point, int>> changes;
+        const std::vector<target_run> runs = m_world.call([&] {
+            return m_world.target(target).runRecords();
+        });
+        for (const target_run &run : runs) {
+            changes.emplace_back(run.startedAt, 1);
+            if (run.endedAt || run.abandonedAt) {
+                changes.emplace_back(std::min(run.endedAt.value_or(steady_clock::time_point::max()),
+                                              run.abandonedAt.value_or(steady_clock::time_point::max())),
+                                     -1);
+            }
+        }
+        std::ranges::sort(changes);
+        int open = 0;
+        int most = 0;
+        for (const auto &[at, change] : changes) {
+            open += change;
+            most = std::max(most, open);
+        }
+        return most;
+    }
+
     void expectNothingQuarantined()
     {
         const std::string output = m_world.vm(m_vm).wholeOutput();
@@ -276,6 +301,7 @@
 
     platform_world m_world;
     std::string m_vm;
+    int m_slots = 20; ///< of each target
 };
 
 enum class disturbance {
@@ -700,6 +726,190 @@
     }
 }
 
+/// The silent run goes on at about the time at which another target takes the request.
+TEST_F(platform_silence_beside_good_target, thatEndsAtTheTakeoverMixesNoRuns)
+{
+    std::vector<silent_request> requests;
+    for (int number = 0; number < 8; ++number) {
+        const milliseconds length = takeoverTime - milliseconds(80) + number * milliseconds(25);
+        for (const silent_request &request : repeatableRequests(length)) {
+            requests.push_back({request.route, request.id + std::to_string(number), request.planned});
+        }
+    }
+    m_slots = static_cast<int>(requests.size());
+    play(requests);
+    for (std::size_t index = 0; index < requests.size(); ++index) {
+        const silent_request &request = requests[index];
+        SCOPED_TRACE(request.id);
+        expectWhole(request.route, m_answers.at(index).answer, {firstOf(request.route), secondOf(request.route)});
+        EXPECT_EQ(runsAt(firstOf(request.route), request.id).size(), 1U);
+        EXPECT_LE(runsAt(secondOf(request.route), request.id).size(), 1U);
+    }
+}
+
+TEST_F(platform_silence_beside_good_target, takesNoPlaceForGood)
+{
+    static constexpr int slots = 7;
+    m_slots = slots;
+    const std::vector<silent_request> requests = repeatableRequests(longSilence);
+    play(requests);
+    std::vector<std::string> ids;
+    std::vector<std::future<timed_answer>> answers;
+    for (int number = 0; number < 2 * slots; ++number) {
+        ids.push_back("later" + std::to_string(number));
+        answers.push_back(ask(routeKinds[0], ids.back()));
+    }
+    for (std::size_t index = 0; index < answers.size(); ++index) {
+        SCOPED_TRACE(ids[index]);
+        const timed_answer result = answers[index].get();
+        expectWhole(routeKinds[0], result.answer, {});
+        // As many as the targets have places, so none waits for the end of another.
+        EXPECT_LE(result.endedAt - result.sentAt, events * eventPause + takeoverSlack);
+    }
+    for (const char *id : {"e1", "e2", "p1", "p2"}) {
+        EXPECT_LE(mostRunsAtOnce(id), slots) << id;
+    }
+}
+
+/// More requests than the retry budget allows to take over at once.
+TEST_F(platform_silence_beside_good_target, beyondTheRetryBudgetCutsNoAnswer)
+{
+    static constexpr std::size_t count = 120;
+    static constexpr std::size_t mostRetries = count / 5 + 50;
+    std::vector<silent_request> requests;
+    for (std::size_t number = 0; number < count; ++number) {
+        requests.push_back({routeKinds[2], "get" + std::to_string(number), {.length = shortSilence}});
+    }
+    m_slots = count;
+    play(requests);
+    std::size_t retries = 0;
+    for (std::size_t index = 0; index < requests.size(); ++index) {
+        SCOPED_TRACE(requests[index].id);
+        expectWhole(requests[index].route, m_answers.at(index).answer, {"p1", "p2"});
+        EXPECT_EQ(runsAt("p1", requests[index].id).size(), 1U);
+        retries += runsAt("p2", requests[index].id).size();
+    }
+    EXPECT_LE(retries, mostRetries);
+}
+
+namespace
+{
+
+class platform_silence_of_two_targets : public platform_silence
+{
+protected:
+    /// Sends \p requests and waits until both targets run them, silently.
+    void play(const std::vector<silent_request> &requests, int deadlineMs = 8000)
+    {
+        start();
+        for (const char *id : {"e1", "p1"}) {
+            planSilences(id, requests);
+        }
+        m_answers = askAll(requests, deadlineMs);
+        ASSERT_TRUE(waitForRuns(requests));
+        for (const target_options &options : {engine("e2"), plain("p2")}) {
+            m_world.addTarget(options);
+            planSilences(options.id, requests);
+        }
+        ASSERT_TRUE(waitFor([&] {
+            return std::ranges::all_of(requests, [&](const silent_request &request) {
+                return !runsAt(secondOf(request.route), request.id).empty();
+            });
+        }));
+    }
+
+    void expectAllClosed(const std::vector<silent_request> &requests, steady_clock::time_point by)
+    {
+        for (const silent_request &request : requests) {
+            SCOPED_TRACE(request.id);
+            for (const std::string &target : {firstOf(request.route), secondOf(request.route)}) {
+                for (const target_run &run : runsAt(target, request.id)) {
+                    EXPECT_TRUE(run.abandonedAt) << "still at work at " << target;
+                    EXPECT_LE(run.abandonedAt.value_or(by), by) << target;
+                }
+            }
+        }
+    }
+
+    static constexpr milliseconds closeTime{500};
+    std::vector<std::future<timed_answer>> m_answers;
+};
+
+} // namespace
+
+TEST_F(platform_silence_of_two_targets, keepsNoRunOfACallerWhoLeft)
+{
+    const std::vector<silent_request> requests = repeatableRequests(longSilence);
+    start();
+    for (const char *id : {"e1", "p1"}) {
+        planSilences(id, requests);
+    }
+    std::vector<asio::ip::tcp::socket> sockets;
+    sockets.reserve(requests.size());
+    for (const silent_request &request : requests) {
+        sockets.push_back(m_world.send(m_vm, requestFor(request.route, request.id)));
+    }
+    ASSERT_TRUE(waitForRuns(requests));
+    for (const target_options &options : {engine("e2"), plain("p2")}) {
+        m_world.addTarget(options);
+        planSilences(options.id, requests);
+    }
+    std::this_thread::sleep_for(takeoverTime + takeoverSlack);
+    sockets.clear();
+    const steady_clock::time_point leftAt = steady_clock::now();
+    std::this_thread::sleep_for(closeTime);
+    expectAllClosed(requests, leftAt + closeTime);
+}
+
+TEST_F(platform_silence_of_two_targets, forGoodEndsAtTheDeadline)
+{
+    static constexpr milliseconds deadline{3000};
+    std::vector<silent_request> requests = repeatableRequests(longSilence);
+    for (silent_request &request : requests) {
+        request.planned.isForGood = true;
+    }
+    play(requests, static_cast<int>(deadline.count()));
+    steady_clock::time_point last;
+    for (std::future<timed_answer> &answer : m_answers) {
+        const timed_answer result = answer.get();
+        EXPECT_GE(result.endedAt - result.sentAt, deadline - milliseconds(100));
+        EXPECT_LE(result.endedAt - result.sentAt, deadline + milliseconds(500));
+        EXPECT_NE(result.answer.status, 503);
+        last = std::max(last, result.endedAt);
+    }
+    std::this_thread::sleep_until(last + closeTime);
+    expectAllClosed(requests, last + closeTime);
+    expectNothingQuarantined();
+}
+
+TEST_F(platform_silence_of_two_targets, outlastsTheEndOfEitherConnection)
+{
+    const std::vector<silent_request> requests = repeatableRequests(longSilence);
+    play(requests);
+    m_world.call([&] {
+        m_world.target("e1").crash();
+        m_world.target("p2").crash();
+    });
+    for (std::size_t index = 0; index < requests.size(); ++index) {
+        const silent_request &request = requests[index];
+        SCOPED_TRACE(request.id);
+        expectWhole(request.route, m_answers[index].get().answer, {firstOf(request.route), secondOf(request.route)});
+    }
+}
+
+TEST_F(platform_silence_of_two_targets, besideStopSignalCutsNoAnswer)
+{
+    const std::vector<silent_request> requests = repeatableRequests(shortSilence);
+    play(requests);
+    m_world.vm(m_vm).send(SIGTERM);
+    for (std::size_t index = 0; index < requests.size(); ++index) {
+        const silent_request &request = requests[index];
+        SCOPED_TRACE(request.id);
+        expectWhole(request.route, m_answers[index].get().answer, {firstOf(request.route), secondOf(request.route)});
+    }
+    EXPECT_EQ(m_world.vm(m_vm).waitForExit(), 0);
+}
+
 /// The request is repeated by its callers until it has been at every target.
 TEST_F(platform_silence, makesNoRequestSuspect)
 {
