Silent attempts are kept until another target has the request

Callers saw accepted requests end with 502 or 504, or a stream cut, though the target that ran them was sound and only silent for a second or so: beside a stop, a change, a target that leaves, or a fleet without room.

Cause: exchange::onTimer closed an attempt after about a second without bytes and only then looked for another target. Where none was there, the request waited in the queue and failed; what ran was given up before there was anything better.

Change: a request has a leading attempt and, while that is silent, a successor at a target that has room and isn't avoided. Whichever has an event or its whole answer first goes on alone; one that ends without leaves the request to the other. At engines the successor has 300 ms to refuse, as two must not work on one request for 400 ms. A silent target isn't counted as failed, is avoided only until any of its attempts is heard, and what was noted of its possible death is dropped then. A retry is counted when it is made. A connection that is silent for longer than a sound target gives its slot free, without being closed. Decisions: silence_rules; lines: target-silent, target-heard, attempt-taken-over.

--- a/packages/gateway/include/fuchsialoom/gateway/gateway.h
+++ b/packages/gateway/include/fuchsialoom/gateway/gateway.h
@@ -264,10 +264,14 @@
     void addShutdownFields(log_line &line, instant now, const exchange &ex) const;
     /// Refuses requests in \p lanes, whose model or adapter isn't resident at any target, if it can't be ordered in time.
     void refuseNotResident(instant now, const std::set<lane_key> &lanes);
+    /// Lets silent streams look for a successor before queued requests take the room.
+    void tryTakeovers(instant now);
     void armQueueTimer();
     /// The connection of an attempt broke before the request was known to run: finds out whether the target died.
     void attemptBroke(const exchange &ex, const target_id &target);
     void onProbed(const target_id &target, probe_result result);
+    /// Bytes of an attempt at \p target arrived. After a silence, they show that its process didn't die.
+    void noteHeard(const target_id &target);
     void reportDeath(const target_id &target);
     service_facts serviceFactsOf(const target_id &target) const;
     /// The request of \p ex ran to its end, or has run for a while, so it crashes no target.
@@ -304,6 +308,7 @@
     admission_queue m_queue;
     std::map<request_id, std::shared_ptr<exchange>> m_queued; ///< by serial
     std::map<request_id, std::weak_ptr<exchange>> m_openExchanges; ///< by serial; not completed yet
+    std::map<request_id, std::weak_ptr<exchange>> m_silentStreams; ///< by serial; started, and their target is silent
     std::map<std::string, run_meter> m_runMeters; ///< by route
     std::map<model_id, pace_meter> m_paceMeters; ///< by model; engines only
     std::map<service_id, shared_retry_budget> m_budgets;
--- a/packages/gateway/include/fuchsialoom/gateway/retry_rules.h
+++ b/packages/gateway/include/fuchsialoom/gateway/retry_rules.h
@@ -16,7 +16,7 @@
     NotRun, ///< the target states that it didn't run the request and won't
     Failed, ///< the target ran it and answered with a server error
     Broken, ///< sent, but no complete answer arrived; the request may have run
-    Silent, ///< sent, but the target stalled; the request may have run
+    Silent, ///< sent, but another attempt had something for the caller first; the request may have run
 };
 
 template<>
@@ -32,6 +32,7 @@
 };
 
 enum class retry_step {
+    LeaveToOther, ///< another attempt of the request is in progress
     TryElsewhere,
     Refuse, ///< tells the caller that the request hasn't run, and when to retry
     PassOn, ///< relays the target's answer to the caller
@@ -42,6 +43,7 @@
 struct name_table<retry_step>
 {
     static constexpr auto entries = std::to_array<enum_name<retry_step>>({
+        {retry_step::LeaveToOther, "leave-to-other"},
         {retry_step::TryElsewhere, "try-elsewhere"},
         {retry_step::Refuse, "refuse"},
         {retry_step::PassOn, "pass-on"},
@@ -52,12 +54,16 @@
 struct attempt_history
 {
     bool repeatable = false; ///< may run more than once
-    bool mayHaveRun = false; ///< some attempt may have run, or may still run
+    bool mayHaveRun = false; ///< some attempt that has ended may have run, or may still run
+    bool otherInProgress = false; ///< a second attempt goes on
     std::uint32_t targetsTried = 0; ///< number of targets it was sent to
     std::uint32_t attempts = 1; ///< maximum number of targets it may be sent to
     std::uint32_t connectFailures = 0; ///< attempts that failed before anything was sent
 };
 
+/// A target that refuses connections costs about 1 ms; after this many, the request is sent to no other.
+inline constexpr std::uint32_t maxConnectFailures = 4;
+
 /// \p budgetAllows: the shared retry budget allows one more retry.
 retry_step nextStep(attempt_outcome outcome, const attempt_history &history, bool budgetAllows);
 
--- a/packages/gateway/include/fuchsialoom/gateway/silence_rules.h
+++ b/packages/gateway/include/fuchsialoom/gateway/silence_rules.h
@@ -48,12 +48,12 @@
 /// Judges all but the targets. \p history counts the attempts that have ended; one more is in progress.
 takeover_verdict judgeTakeover(const attempt_history &history, const takeover_facts &facts);
 
-/// Whether an attempt for \p matched of which the latest byte came at \p lastByteAt is stalled, and from when on.
+/// From when on an attempt for \p matched counts as silent if no byte follows the one at \p lastByteAt.
 instant stalledFrom(const route &matched, bool hasStarted, instant lastByteAt);
 
-/// Longest silence of a target that works. After it, the connection may have been lost without a reset: the attempt no
-/// longer counts as using a slot, and the same target may be tried on another connection.
-inline constexpr milliseconds longestPause{3000};
+/// Longer than a target that works is silent, which is 3 s and the time since its last byte. After it, the connection may have been lost
+/// without a reset: the attempt no longer counts as using a slot, and a stream may resume at the same target on another connection.
+inline constexpr milliseconds longestPause{4000};
 
 /// After this time, a successor that has refused nothing is taken to run the request, and the silent attempt is closed:
 /// an engine must not go on with a request for 400 ms after another has it.
--- a/packages/gateway/include/fuchsialoom/gateway/target_pool.h
+++ b/packages/gateway/include/fuchsialoom/gateway/target_pool.h
@@ -51,7 +51,9 @@
     target_in_flight peers; ///< sum of the latest counts of all peers
     double failureShare = 0; ///< share of recent attempts that failed, 0 to 1; decays
     instant failureShareAt{}; ///< time up to which `failureShare` has decayed
-    instant avoidUntil{}; ///< used only if no other target has room, after a failed connection or a timeout
+    instant avoidUntil{}; ///< used only if no other target has room, after a failed connection or a refusal
+    instant silentUntil{}; ///< used only if no other target has room, while an attempt here is silent
+    instant heardAt{}; ///< latest byte of any attempt of this VM
     instant displacedUntil{}; ///< another process answered at its address: the target is gone, even if still listed
     bool displaced = false; ///< `displacedUntil` was in the future at the last expirePeers()
     instant unreachableUntil{}; ///< its host refused a connection from this VM or a peer
@@ -64,6 +66,10 @@
         return !listed.leaving && !displaced && !unreachable;
     }
 
+    bool isAvoided(instant now) const
+    {
+        return now < avoidUntil || now < silentUntil;
+    }
     std::uint32_t inFlight() const
     {
         return own.requests + peers.requests;
@@ -154,8 +160,13 @@
     /// Records that a request ran for \p length at a target of \p service.
     void noteRun(const service_id &service, milliseconds length);
     void failed(instant now, const target_id &id);
-    /// Avoids the target for \p length, after a failed connection or a timeout.
+    /// Avoids the target for \p length, after a failed connection or a refusal.
     void avoid(instant now, const target_id &id, milliseconds length);
+    /// An attempt there has got no byte since \p since. The target is avoided until it is heard or until a short time has
+    /// passed, unless another attempt has heard it meanwhile.
+    void noteSilent(instant now, const target_id &id, instant since);
+    /// The target sent something. \return whether it was avoided for its silence.
+    bool noteHeard(instant now, const target_id &id);
     /// Another process answered at the target's address. \return whether that wasn't known.
     bool displace(instant now, const target_id &id);
     /// The target's host refused a connection, so no process is listening. The target gets no requests until it has had
--- a/packages/gateway/lib/exchange.cpp
+++ b/packages/gateway/lib/exchange.cpp
@@ -1,6 +1,6 @@
 /// \file
 /// Life cycle of one request: admission, deadlines and completion. exchange_admission.cpp decides whose it is,
-/// exchange_attempts.cpp implements its attempts.
+/// exchange_attempts.cpp implements its attempts, exchange_silence.cpp what follows when a target sends nothing.
 #include "exchange.h"
 
 #include "fuchsialoom/gateway/request_fingerprint.h"
@@ -277,9 +277,7 @@
 
 void exchange::abortForShutdown()
 {
-    if (m_attempt) {
-        m_attempt->link->close();
-    }
+    closeAttempts();
     if (!m_attempt && !m_history.mayHaveRun && !m_streamStarted) {
         refuse(refusal::Draining, milliseconds(0));
         return;
@@ -295,7 +293,7 @@
     const instant first = m_streamStarted ? m_firstEventAt : now;
     sample.first = std::chrono::duration_cast<milliseconds>(first - m_attempt->sentAt);
     sample.rest = std::chrono::duration_cast<milliseconds>(now - first);
-    sample.events = m_eventScanner.count();
+    sample.events = scanner().count();
     sample.outputTokens = m_facts.maxOutputTokens;
     m_gateway.m_runMeters[m_route.name].record(now, sample);
     if (!m_isEngine) {
@@ -309,9 +307,7 @@
         return;
     }
     m_gateway.m_counters.abandoned += 1;
-    if (m_attempt) {
-        m_attempt->link->close();
-    }
+    closeAttempts();
     finish("abandoned", "caller-left");
 }
 
@@ -336,8 +332,8 @@
     if (m_streamStarted) {
         line.with("gap-objective-ms", std::to_string(m_route.gapObjective.count()));
         line.with("first-ms", std::to_string(std::chrono::duration_cast<milliseconds>(m_firstEventAt - m_arrivedAt).count()));
-        line.with("events", std::to_string(m_eventScanner.count())).with("gap-ms", std::to_string(m_gapMs));
-        line.with("unfinished-bytes", std::to_string(m_eventScanner.rest().size()));
+        line.with("events", std::to_string(scanner().count())).with("gap-ms", std::to_string(m_gapMs));
+        line.with("unfinished-bytes", std::to_string(scanner().rest().size()));
     }
     m_gateway.m_log.writeRequest(now, line);
     // A refusal states that the request hasn't run, so the latest attempt was one that its target didn't run.
@@ -357,7 +353,7 @@
     endTrial();
     m_done = true;
     m_timer.cancel();
-    endAttempt();
+    endAttempts();
     m_gateway.m_openExchanges.erase(m_serial);
     m_gateway.onExchangeDone(*this);
 }
@@ -373,7 +369,8 @@
         return;
     }
     const instant end = m_streamStarted ? m_deadlines.callerDeadline : m_deadlines.answerDeadline;
-    const instant next = std::max(std::min(end, stallDeadline()), loopNow() + milliseconds(1));
+    const instant silenceCheck = std::max(stallDeadline(), m_nextTakeoverAt);
+    const instant next = std::max(std::min({end, silenceCheck, handoverDeadline()}), loopNow() + milliseconds(1));
     const auto self = shared_from_this();
     m_timer.expires_at(std::chrono::steady_clock::time_point(next.time_since_epoch()));
     m_timer.async_wait([self](const asio::error_code &problem) {
@@ -391,43 +388,13 @@
         onDeadlineReached();
         return;
     }
-    if (m_attempt && now >= stallDeadline()) {
-        m_gateway.m_pool.avoid(now, m_attempt->target, unreachableAvoidance);
-        const takeover_verdict verdict = takeoverVerdict(now);
-        logSilence(now, verdict);
-        if (verdict == takeover_verdict::Possible || verdict == takeover_verdict::NoTarget) {
-            onUnanswered();
-            m_attempt->link->close();
-            handleAttemptEnd(attempt_outcome::Silent);
-        } else {
-            // No retry is possible: keeps waiting, and checks again after another stall timeout.
-            m_attempt->lastByteAt = now;
-        }
+    if (now >= handoverDeadline()) {
+        onHandoverDue();
     }
-    armTimer();
-}
-
-takeover_verdict exchange::takeoverVerdict(instant now) const
-{
-    takeover_facts facts;
-    facts.budgetAllows = m_gateway.retryBudgetFor(m_service).allows(now);
-    const takeover_verdict verdict = judgeTakeover(m_history, facts);
-    if (verdict != takeover_verdict::Possible) {
-        return verdict;
+    if (now >= stallDeadline()) {
+        onSilence(now);
     }
-    return m_gateway.m_pool.choose(now, query(), 0).target ? verdict : takeover_verdict::NoTarget;
-}
-
-void exchange::logSilence(instant now, takeover_verdict verdict) const
-{
-    m_gateway.m_log.writeRequest(now,
-                                 log_line("target-silent", m_facts.id)
-                                     .with("target", m_attempt->target)
-                                     .with("silent-ms", std::chrono::duration_cast<milliseconds>(now - m_attempt->lastByteAt))
-                                     .with("head", m_attempt->headReceived ? "yes" : "no")
-                                     .with("events", m_eventScanner.count())
-                                     .with("unfinished-bytes", m_eventScanner.rest().size())
-                                     .with("takeover", verdict));
+    armTimer();
 }
 
 void exchange::onDeadlineReached()
@@ -437,11 +404,16 @@
         refuse(refusal::TimedOut, std::nullopt);
         return;
     }
-    if (m_attempt) {
-        m_gateway.m_pool.failed(loopNow(), m_attempt->target);
-        onUnanswered();
-        m_attempt->link->close();
+    for (const std::optional<attempt> *one : {&m_attempt, &m_successor}) {
+        if (!*one) {
+            continue;
+        }
+        if (!(*one)->headReceived || (*one)->isSilent) {
+            m_gateway.m_pool.failed(loopNow(), (*one)->target);
+        }
+        onUnanswered(**one);
     }
+    closeAttempts();
     failRequest(statusTimedOut, "deadline");
 }
 
--- a/packages/gateway/lib/exchange.h
+++ b/packages/gateway/lib/exchange.h
@@ -15,9 +15,6 @@
 namespace fuchsialoom
 {
 
-/// For this long, a target that refused a connection or stalled gets only requests that no other target can take.
-inline constexpr milliseconds unreachableAvoidance{1000};
-
 class exchange : public std::enable_shared_from_this<exchange>
 {
 public:
@@ -27,6 +24,9 @@
     /// Queues the request or answers it, as the current configuration says.
     void start();
 
+    /// Makes a second attempt beside a silent one, if another target has room and may take the request over.
+    void tryTakeover(instant now);
+
     /// Sends the request to \p target and counts it as in flight there until the attempt ends.
     void dispatch(const pool_target &target);
 
@@ -72,8 +72,10 @@
 
     struct attempt
     {
+        std::uint32_t number = 0; ///< of this request's attempts; callbacks name it
         target_id target;
         std::shared_ptr<http_link> link;
+        event_scanner scanner; ///< continues that of the attempt before
         bool isSigned = false; ///< the target itself signed the answer
         bool headReceived = false;
         std::uint32_t pendingPromptTokens = 0; ///< prompt tokens; 0 once the first event has arrived
@@ -82,7 +84,10 @@
         std::string body; ///< of an answer that is relayed as a whole
         instant sentAt{};
         instant firstEventAt = farFuture;
+        instant lastEventAt{};
         instant lastByteAt{};
+        bool isSilent = false; ///< nothing came for longer than a busy target needs
+        bool usesSlot = true; ///< counted as in flight at its target
     };
 
     /// Attributes the request to the team of its key. \return whether it may go on; else it has been answered.
@@ -97,46 +102,80 @@
     void deny(int status, header_list headers, log_line line);
     void resolveRoute();
     bool isModelServed() const;
+    /// What has been relayed of the stream.
+    const event_scanner &scanner() const
+    {
+        return m_attempt ? m_attempt->scanner : m_eventScanner;
+    }
     bool isStream() const
     {
         return m_route.kind == request_kind::Stream;
     }
-    std::string serializeRequest(const pool_target &target) const;
+    std::string serializeRequest(const attempt &one) const;
+    /// Sends the request to \p target as attempt \p one, which is new.
+    void launch(attempt &one, const pool_target &target);
     link_events callbacksForAttempt(std::uint32_t number);
-    void onHead(const answer_head &head);
+    /// The attempt in progress with that number, or null.
+    attempt *findAttempt(std::uint32_t number);
+    void onHead(attempt &one, const answer_head &head);
     void onPromptProcessed();
-    /// Whether the request in progress hasn't run long enough to show that it doesn't crash its target.
-    bool isBeginning(instant now) const;
+    /// Whether \p one hasn't run long enough to show that the request doesn't crash its target.
+    static bool isBeginning(const attempt &one, instant now);
     void samplePace(instant now);
-    void onBody(std::string_view bytes);
+    void onBody(attempt &one, std::string_view bytes);
+    /// Events of the leading attempt.
     void onEvents(std::string_view events);
-    void onComplete();
+    void onComplete(attempt &one);
     /// The stream's message is complete; the stream itself may not be.
-    void onStreamEnd();
-    void onFailure(link_failure how, bool sent);
+    void onStreamEnd(attempt &one);
+    void onFailure(attempt &one, link_failure how, bool sent);
     /// The answer of an attempt that may have run broke off.
     /// \param connectionEnded: its connection ended too early, as at the end of the target's process.
-    void onBrokenOff(std::string_view how, bool connectionEnded);
+    void onBrokenOff(attempt &one, std::string_view how, bool connectionEnded);
     /// The attempt may have run and gets no answer; before the request is known to run, its target may have died.
-    void onUnanswered();
-    void logBreak(std::string_view how);
+    void onUnanswered(const attempt &one);
+    void logBreak(const attempt &one, std::string_view how);
     void relay(std::string_view events);
     void relayWholeAnswer();
-    void endAttempt();
+    /// Ends the attempt at its target: its slot and its link are free.
+    void release(attempt &one);
+    void closeAttempts();
+    void endAttempts();
+    /// \name Silence: see exchange_silence.cpp.
+    /// @{
+    /// Bytes of \p one arrived.
+    void onHeard(attempt &one);
+    /// No byte of the leading attempt arrived for longer than a busy target needs.
+    void onSilence(instant now);
+    void logSilence(instant now) const;
+    takeover_verdict judgeTakeoverNow(instant now) const;
+    bool isSuspectedNow(instant now) const;
+    /// Another target that has room and isn't avoided, or null.
+    const pool_target *chooseSuccessor(instant now);
+    void freeSlot(attempt &one);
+    /// \p one has something for the caller: it is the only attempt from here on, as `m_attempt`.
+    void lead(const attempt &one);
+    void promoteSuccessor();
+    void dropSuccessor();
+    /// The successor has had its time to refuse: the request goes on at one engine.
+    void onHandoverDue();
+    instant handoverDeadline() const;
+    /// @}
     /// Claims the turn for a trial, and gets a lane of its own in the queue.
     bool claimTrial();
     /// Gives the turn back: the request isn't suspected any more, or it has ended.
     void endTrial();
-    void handleAttemptEnd(attempt_outcome outcome);
+    void handleAttemptEnd(attempt &one, attempt_outcome outcome);
+    /// Counts the end of \p one in the history and at its target.
+    void countAttemptEnd(const attempt &one, attempt_outcome outcome);
+    /// Ends \p one; the other attempt in progress becomes the leading one.
+    void leaveToOther(attempt &one);
     void failRequest(int status, std::string_view reason);
     void onCallerGone();
     void armTimer();
     void onTimer();
     void onDeadlineReached();
     instant stallDeadline() const;
-    /// Whether another target may take the request over now, and has room for it.
-    takeover_verdict takeoverVerdict(instant now) const;
-    void logSilence(instant now, takeover_verdict verdict) const;
     void recordRun();
     void finish(std::string_view result, std::string_view reason);
 
@@ -159,9 +198,12 @@
     bool m_late = false; ///< queued behind the requests that can still meet their objective
     attempt_history m_history;
     std::set<target_id> m_triedTargets;
-    std::optional<attempt> m_attempt; ///< in progress
-    std::uint32_t m_attemptNumber = 0; ///< callbacks of earlier attempts are ignored by this number
-    event_scanner m_eventScanner;
+    std::optional<attempt> m_attempt; ///< the leading one; only its answer is relayed
+    std::optional<attempt> m_successor; ///< only beside m_attempt, while that is or was silent, and at another target
+    std::uint32_t m_attemptNumber = 0; ///< of the latest attempt
+    event_scanner m_eventScanner; ///< of the attempts that have ended; see scanner()
+    takeover_verdict m_takeoverVerdict = takeover_verdict::Possible; ///< as last judged in the present silence
+    instant m_nextTakeoverAt{}; ///< earliest next try
     instant m_firstEventAt{};
     instant m_paceSampleStart{}; ///< start of the current pace sample
     std::uint64_t m_paceSampleFirstEvent = 0; ///< event count at that time
--- a/packages/gateway/lib/exchange_attempts.cpp
+++ b/packages/gateway/lib/exchange_attempts.cpp
@@ -13,6 +13,8 @@
 /// A round trip between failure domains takes 1 ms and the target 1 ms more. A lost SYN is retransmitted only after
 /// a second, so waiting for that isn't worthwhile.
 static constexpr milliseconds connectTimeout{250};
+/// For this long, a target that refused a connection gets only requests that no other target can take.
+static constexpr milliseconds unreachableAvoidance{1000};
 /// For this long, other targets are preferred to one that refused a request: it is full or is changing its models.
 static constexpr milliseconds refusalAvoidance{250};
 /// Short, since another target may have room.
@@ -23,15 +25,15 @@
 /// A request crashes its target as it begins to run. Once its stream has gone on for this long, it has begun.
 static constexpr milliseconds beginningTime{100};
 
-std::string exchange::serializeRequest(const pool_target &target) const
+std::string exchange::serializeRequest(const attempt &one) const
 {
     attempt_facts facts;
     const instant until = isStream() ? m_deadlines.callerDeadline : m_deadlines.answerDeadline;
     facts.timeLeft = std::chrono::duration_cast<milliseconds>(until - loopNow());
-    facts.target = target.listed.id;
+    facts.target = one.target;
     facts.urgency = m_route.rank;
     facts.isEngine = m_isEngine;
-    facts.resumeAfter = m_eventScanner.lastId();
+    facts.resumeAfter = one.scanner.lastId();
     facts.team = m_team;
 
     header_list headers = m_request.headers;
@@ -52,32 +54,43 @@
 void exchange::dispatch(const pool_target &target)
 {
     assert(!m_attempt);
-    const instant now = loopNow();
     if (m_attemptNumber == 0) {
-        m_queueTime = now - m_arrivedAt;
+        m_queueTime = loopNow() - m_arrivedAt;
     }
+    launch(m_attempt.emplace(), target);
+}
+
+void exchange::launch(attempt &one, const pool_target &target)
+{
+    const instant now = loopNow();
     log_line line = log_line("sent", m_facts.id)
                         .with("target", target.listed.id)
                         .with("in-flight", target.inFlight())
                         .with("slots", target.listed.slots)
                         .with("waited-ms", std::chrono::duration_cast<milliseconds>(now - m_arrivedAt))
-                        .with("attempt", m_history.targetsTried + 1)
+                        .with("attempt", m_history.targetsTried + (m_successor ? 2 : 1))
                         .with("config", m_configVersion);
+    if (m_successor) {
+        line.with("beside", m_attempt->target.text());
+    }
     if (m_trial) {
         line.with("trial-of", textOf(fingerprint()));
         m_gateway.m_trialCount += 1;
     }
     m_gateway.addShutdownFields(line, now, *this);
     m_gateway.m_log.writeRequest(now, line);
-    m_attempt = attempt();
-    attempt &started = *m_attempt;
-    started.target = target.listed.id;
-    started.sentAt = now;
-    started.lastByteAt = now;
-    started.link = m_gateway.m_links.acquire(target.listed.id, target.listed.address);
-    m_triedTargets.insert(started.target);
-    started.pendingPromptTokens = m_isEngine ? m_facts.promptTokens : 0;
-    m_gateway.m_pool.begin(started.target, started.pendingPromptTokens);
+    m_attemptNumber += 1;
+    one.number = m_attemptNumber;
+    one.target = target.listed.id;
+    one.sentAt = now;
+    one.lastEventAt = now;
+    one.lastByteAt = now;
+    one.link = m_gateway.m_links.acquire(target.listed.id, target.listed.address);
+    one.pendingPromptTokens = m_isEngine ? m_facts.promptTokens : 0;
+    one.scanner = m_successor ? m_attempt->scanner : m_eventScanner;
+    one.scanner.restart();
+    m_triedTargets.insert(one.target);
+    m_gateway.m_pool.begin(one.target, one.pendingPromptTokens);
     if (!m_running) {
         m_running = true;
         model_demand &demand = m_gateway.m_demand[m_facts.model];
@@ -86,75 +99,80 @@
             demand.adapters[m_facts.adapter].running += 1;
         }
     }
-    m_attemptNumber += 1;
     if (m_attemptNumber > 1) {
         m_gateway.m_metrics.add(metric::Retries);
     }
     if (m_streamStarted) {
         m_gateway.m_metrics.add(metric::Resumes);
     }
-    m_eventScanner.restart();
     m_paceSampleStart = instant{};
-    started.link->send(serializeRequest(target), m_request.method == "HEAD", now + connectTimeout, callbacksForAttempt(m_attemptNumber));
+    one.link->send(serializeRequest(one), m_request.method == "HEAD", now + connectTimeout, callbacksForAttempt(one.number));
     armTimer();
 }
 
+exchange::attempt *exchange::findAttempt(std::uint32_t number)
+{
+    if (m_attempt && m_attempt->number == number) {
+        return &*m_attempt;
+    }
+    return m_successor && m_successor->number == number ? &*m_successor : nullptr;
+}
+
 /// Callbacks of attempt \p number; ignored once that attempt is over.
 link_events exchange::callbacksForAttempt(std::uint32_t number)
 {
     const auto self = shared_from_this();
-    const auto current = [self, number] {
-        return self->m_attempt && self->m_attemptNumber == number;
-    };
     link_events events;
-    events.isMine = [self](const answer_head &head) {
-        const answer_facts facts = self->m_gateway.m_dialect.readAnswer(head, self->m_attempt ? self->m_attempt->target : target_id());
+    events.isMine = [self, number](const answer_head &head) {
+        const attempt *one = self->findAttempt(number);
+        const answer_facts facts = self->m_gateway.m_dialect.readAnswer(head, one ? one->target : target_id());
         if (facts.answers.empty()) {
             return head.status < 200 || head.status >= 300;
         }
         return facts.answers == self->m_facts.id;
     };
-    events.onHead = [self, current](const answer_head &head) {
-        if (current()) {
-            self->onHead(head);
+    events.onHead = [self, number](const answer_head &head) {
+        if (attempt *one = self->findAttempt(number)) {
+            self->onHead(*one, head);
         }
     };
-    events.onBody = [self, current](std::string_view bytes) {
-        if (current()) {
-            self->onBody(bytes);
+    events.onBody = [self, number](std::string_view bytes) {
+        if (attempt *one = self->findAttempt(number)) {
+            self->onBody(*one, bytes);
         }
     };
-    events.onComplete = [self, current] {
-        if (current()) {
-            self->onComplete();
+    events.onComplete = [self, number] {
+        if (attempt *one = self->findAttempt(number)) {
+            self->onComplete(*one);
         }
     };
-    events.onFailure = [self, current](link_failure how, bool sent) {
-        if (current()) {
-            self->onFailure(how, sent);
+    events.onFailure = [self, number](link_failure how, bool sent) {
+        if (attempt *one = self->findAttempt(number)) {
+            self->onFailure(*one, how, sent);
         }
     };
     return events;
 }
 
-void exchange::onHead(const answer_head &head)
+void exchange::onHead(attempt &one, const answer_head &head)
 {
-    m_attempt->headReceived = true;
-    m_attempt->lastByteAt = loopNow();
-    m_attempt->head = head;
-    m_attempt->isSigned = m_gateway.m_dialect.readAnswer(head, m_attempt->target).signedByTarget;
-    m_attempt->relaysEvents = isStream() && head.status == 200 && m_attempt->isSigned;
+    onHeard(one);
+    one.headReceived = true;
+    one.head = head;
+    one.isSigned = m_gateway.m_dialect.readAnswer(head, one.target).signedByTarget;
+    one.relaysEvents = isStream() && head.status == 200 && one.isSigned;
 }
 
-void exchange::onBody(std::string_view bytes)
+void exchange::onBody(attempt &one, std::string_view bytes)
 {
-    if (!m_attempt->relaysEvents) {
-        m_attempt->lastByteAt = loopNow();
-        m_attempt->body.append(bytes);
+    onHeard(one);
+    if (!one.relaysEvents) {
+        one.body.append(bytes);
         return;
     }
-    const std::string events = m_eventScanner.feed(bytes);
+    const std::string events = one.scanner.feed(bytes);
     if (!events.empty()) {
+        lead(one);
         onEvents(events);
     }
 }
@@ -165,12 +183,12 @@
     onPromptProcessed();
     m_attempt->firstEventAt = std::min(m_attempt->firstEventAt, now);
     if (m_streamStarted) {
-        const auto gap = std::chrono::duration_cast<milliseconds>(now - m_attempt->lastByteAt);
-        m_gateway.m_metrics.observe(metric::TokenGap, now - m_attempt->lastByteAt);
+        const auto gap = std::chrono::duration_cast<milliseconds>(now - m_attempt->lastEventAt);
+        m_gateway.m_metrics.observe(metric::TokenGap, now - m_attempt->lastEventAt);
         m_gapMs = std::max(m_gapMs, static_cast<std::uint64_t>(gap.count()));
     }
-    m_attempt->lastByteAt = now;
-    if (m_trial && !isBeginning(now)) {
+    m_attempt->lastEventAt = now;
+    if (m_trial && !isBeginning(*m_attempt, now)) {
         m_gateway.acquit(*this);
         endTrial();
     }
@@ -196,7 +214,7 @@
     if (!m_isEngine) {
         return;
     }
-    const std::uint64_t produced = m_eventScanner.count() - m_paceSampleFirstEvent;
+    const std::uint64_t produced = m_attempt->scanner.count() - m_paceSampleFirstEvent;
     const bool isFirst = m_paceSampleStart == instant{};
     if (!isFirst && produced < eventsPerPaceSample) {
         return;
@@ -205,7 +223,7 @@
         m_gateway.m_paceMeters[m_facts.model].record(now, std::chrono::duration_cast<milliseconds>(now - m_paceSampleStart), produced);
     }
     m_paceSampleStart = now;
-    m_paceSampleFirstEvent = m_eventScanner.count();
+    m_paceSampleFirstEvent = m_attempt->scanner.count();
 }
 
 /// Sends the head with the first event: until then the request can still be retried at another target.
@@ -222,48 +240,54 @@
     m_caller->sendPart(events);
 }
 
-void exchange::onComplete()
+void exchange::onComplete(attempt &one)
 {
-    const answer_facts facts = m_gateway.m_dialect.readAnswer(m_attempt->head, m_attempt->target);
-    if (facts.displaced && m_gateway.m_pool.displace(loopNow(), m_attempt->target)) {
-        m_gateway.m_log.write(loopNow(), log_line("target-displaced").with("target", m_attempt->target).with("by", "answer"));
+    const answer_facts facts = m_gateway.m_dialect.readAnswer(one.head, one.target);
+    if (facts.displaced && m_gateway.m_pool.displace(loopNow(), one.target)) {
+        m_gateway.m_log.write(loopNow(), log_line("target-displaced").with("target", one.target).with("by", "answer"));
     }
-    const int status = m_attempt->head.status;
+    const int status = one.head.status;
     const bool promises = status == 408 || status == 421 || status == 429 || status == 503;
     const bool good = status >= 200 && status < 300;
     if (facts.wrongTarget) {
-        m_gateway.m_pool.noteAbsent(loopNow(), m_attempt->target, m_facts.model, m_facts.adapter);
+        m_gateway.m_pool.noteAbsent(loopNow(), one.target, m_facts.model, m_facts.adapter);
     }
     if (facts.notRun || facts.wrongTarget) {
-        handleAttemptEnd(attempt_outcome::NotRun);
-    } else if (m_attempt->relaysEvents) {
-        onStreamEnd();
+        handleAttemptEnd(one, attempt_outcome::NotRun);
+    } else if (one.relaysEvents) {
+        onStreamEnd(one);
     } else if (promises || (good && !facts.signedByTarget)) {
         // An answer like this from a target that doesn't state that the request wasn't run leaves that open.
-        handleAttemptEnd(attempt_outcome::Broken);
+        handleAttemptEnd(one, attempt_outcome::Broken);
     } else if (status >= 500) {
-        handleAttemptEnd(attempt_outcome::Failed);
+        handleAttemptEnd(one, attempt_outcome::Failed);
     } else {
-        m_gateway.m_pool.succeeded(loopNow(), m_attempt->target);
+        m_gateway.m_pool.succeeded(loopNow(), one.target);
+        lead(one);
         relayWholeAnswer();
     }
 }
 
-void exchange::onStreamEnd()
+void exchange::onStreamEnd(attempt &one)
 {
-    const answer_framing framing = m_attempt->head.framing;
-    const std::string events = m_eventScanner.finish();
+    const answer_framing framing = one.head.framing;
+    const std::string events = one.scanner.finish();
+    const stream_end end = one.scanner.judge(framing);
+    if (events.empty() && end != stream_end::Whole) {
+        onBrokenOff(one, nameOf(end), framing == answer_framing::Connection);
+        return;
+    }
+    lead(one);
     if (!events.empty()) {
         onEvents(events);
     }
-    const stream_end end = m_eventScanner.judge(framing);
     if (end != stream_end::Whole) {
-        onBrokenOff(nameOf(end), framing == answer_framing::Connection);
+        onBrokenOff(*m_attempt, nameOf(end), framing == answer_framing::Connection);
         return;
     }
     m_gateway.m_pool.succeeded(loopNow(), m_attempt->target);
     // What is left is no event: comments.
-    const std::string rest = m_eventScanner.rest();
+    const std::string rest = m_attempt->scanner.rest();
     if (!m_streamStarted || !rest.empty()) {
         relay(rest);
     }
@@ -285,90 +309,100 @@
     finish("answered", "whole");
 }
 
-bool exchange::isBeginning(instant now) const
+bool exchange::isBeginning(const attempt &one, instant now)
 {
-    return m_attempt->firstEventAt > now - beginningTime;
+    return one.firstEventAt > now - beginningTime;
 }
 
-void exchange::onFailure(link_failure how, bool sent)
+void exchange::onFailure(attempt &one, link_failure how, bool sent)
 {
     if (sent) {
-        onBrokenOff(nameOf(how), how == link_failure::Reset || how == link_failure::Closed);
+        onBrokenOff(one, nameOf(how), how == link_failure::Reset || how == link_failure::Closed);
         return;
     }
-    logBreak(nameOf(how));
+    logBreak(one, nameOf(how));
     if (how == link_failure::Refused) {
-        m_gateway.noteUnreachable(m_attempt->target);
+        m_gateway.noteUnreachable(one.target);
     }
-    m_gateway.m_pool.avoid(loopNow(), m_attempt->target, unreachableAvoidance);
-    handleAttemptEnd(attempt_outcome::NotSent);
+    m_gateway.m_pool.avoid(loopNow(), one.target, unreachableAvoidance);
+    handleAttemptEnd(one, attempt_outcome::NotSent);
 }
 
-void exchange::onBrokenOff(std::string_view how, bool connectionEnded)
+void exchange::onBrokenOff(attempt &one, std::string_view how, bool connectionEnded)
 {
-    logBreak(how);
+    logBreak(one, how);
     if (connectionEnded) {
-        onUnanswered();
+        onUnanswered(one);
     }
-    handleAttemptEnd(attempt_outcome::Broken);
+    handleAttemptEnd(one, attempt_outcome::Broken);
 }
 
-void exchange::onUnanswered()
+void exchange::onUnanswered(const attempt &one)
 {
-    if (isBeginning(loopNow())) {
-        m_gateway.attemptBroke(*this, m_attempt->target);
+    if (isBeginning(one, loopNow())) {
+        m_gateway.attemptBroke(*this, one.target);
     }
 }
 
-void exchange::logBreak(std::string_view how)
+void exchange::logBreak(const attempt &one, std::string_view how)
 {
     const instant now = loopNow();
     m_gateway.m_log.writeRequest(now,
                                  log_line("attempt-broke", m_facts.id)
-                                     .with("target", m_attempt->target)
+                                     .with("target", one.target)
                                      .with("how", how)
-                                     .with("head", m_attempt->headReceived ? "yes" : "no")
-                                     .with("framing", m_attempt->headReceived ? nameOf(m_attempt->head.framing) : "none")
-                                     .with("events", m_eventScanner.count())
-                                     .with("unfinished-bytes", m_eventScanner.rest().size())
+                                     .with("head", one.headReceived ? "yes" : "no")
+                                     .with("framing", one.headReceived ? nameOf(one.head.framing) : "none")
+                                     .with("events", one.scanner.count())
+                                     .with("unfinished-bytes", one.scanner.rest().size())
                                      .with("fingerprint", textOf(fingerprint()))
-                                     .with("after-ms", std::chrono::duration_cast<milliseconds>(now - m_attempt->sentAt)));
+                                     .with("after-ms", std::chrono::duration_cast<milliseconds>(now - one.sentAt)));
 }
 
-void exchange::handleAttemptEnd(attempt_outcome outcome)
+void exchange::countAttemptEnd(const attempt &one, attempt_outcome outcome)
 {
     const instant now = loopNow();
-    const target_id target = m_attempt->target;
     if (outcome == attempt_outcome::NotSent) {
         m_history.connectFailures += 1;
-    } else {
-        m_history.targetsTried += 1;
-    }
-    if (outcome != attempt_outcome::NotSent && outcome != attempt_outcome::NotRun) {
-        m_history.mayHaveRun = true;
-        m_gateway.m_pool.failed(now, target);
-        m_gateway.m_pool.avoid(now, target, refusalAvoidance);
+        return;
     }
+    m_history.targetsTried += 1;
     if (outcome == attempt_outcome::NotRun) {
-        m_gateway.m_pool.avoid(now, target, refusalAvoidance);
+        m_gateway.m_pool.avoid(now, one.target, refusalAvoidance);
+        return;
     }
+    m_history.mayHaveRun = true;
+    if (outcome != attempt_outcome::Silent) {
+        m_gateway.m_pool.failed(now, one.target);
+        m_gateway.m_pool.avoid(now, one.target, refusalAvoidance);
+    }
+}
+
+void exchange::handleAttemptEnd(attempt &one, attempt_outcome outcome)
+{
+    const instant now = loopNow();
+    countAttemptEnd(one, outcome);
+    m_history.otherInProgress = m_successor.has_value();
     shared_retry_budget &budget = m_gateway.retryBudgetFor(m_service);
     const retry_step step = nextStep(outcome, m_history, budget.allows(now));
     m_gateway.m_log.writeRequest(now,
                                  log_line("attempt-ended", m_facts.id)
-                                     .with("target", target)
+                                     .with("target", one.target)
                                      .with("outcome", outcome)
-                                     .with("status", m_attempt->head.status)
+                                     .with("status", one.head.status)
                                      .with("sent-to", m_history.targetsTried)
                                      .with("attempts", m_history.attempts)
                                      .with("step", step));
     switch (step) {
+    case retry_step::LeaveToOther:
+        leaveToOther(one);
+        return;
     case retry_step::TryElsewhere:
         if (outcome != attempt_outcome::NotSent) {
             budget.countRetry(now);
             m_gateway.m_counters.retries += 1;
         }
-        endAttempt();
+        endAttempts();
         m_gateway.enqueue(shared_from_this());
         return;
     case retry_step::Refuse:
@@ -383,16 +417,35 @@
     }
 }
 
-void exchange::endAttempt()
+void exchange::release(attempt &one)
 {
-    if (!m_attempt) {
-        return;
-    }
-    const target_id target = m_attempt->target;
-    m_gateway.m_pool.end(target, m_attempt->pendingPromptTokens);
+    freeSlot(one);
     m_gateway.notifyInFlightChanged();
-    m_gateway.m_links.release(target, m_attempt->link);
-    m_attempt.reset();
+    m_gateway.m_links.release(one.target, one.link);
+}
+
+void exchange::endAttempts()
+{
+    if (m_successor) {
+        release(*m_successor);
+        m_successor.reset();
+    }
+    if (m_attempt) {
+        release(*m_attempt);
+        m_eventScanner = std::move(m_attempt->scanner);
+        m_attempt.reset();
+    }
+    m_gateway.m_silentStreams.erase(m_serial);
+}
+
+/// A link that is closed while it is busy makes its target drop the request.
+void exchange::closeAttempts()
+{
+    for (const std::optional<attempt> *one : {&m_attempt, &m_successor}) {
+        if (*one) {
+            (*one)->link->close();
+        }
+    }
 }
 
 } // namespace fuchsialoom
--- /dev/null
+++ b/packages/gateway/lib/exchange_silence.cpp
@@ -0,0 +1,195 @@
+/// \file
+/// One request whose target sends nothing for a while: a second attempt is made beside the first, and the first that has
+/// something for the caller goes on alone.
+#include "exchange.h"
+
+#include <cassert>
+#include <utility>
+
+namespace fuchsialoom
+{
+
+/// Interval at which a silent attempt looks for a successor.
+static constexpr milliseconds takeoverInterval{50};
+
+void exchange::onHeard(attempt &one)
+{
+    const instant now = loopNow();
+    const instant silentSince = std::exchange(one.lastByteAt, now);
+    m_gateway.noteHeard(one.target);
+    if (!one.isSilent) {
+        return;
+    }
+    one.isSilent = false;
+    if (!one.usesSlot) {
+        one.usesSlot = true;
+        m_gateway.m_pool.begin(one.target, one.pendingPromptTokens);
+        m_gateway.notifyInFlightChanged();
+    }
+    m_gateway.m_silentStreams.erase(m_serial);
+    m_gateway.m_log.writeRequest(now,
+                                 log_line("target-heard", m_facts.id)
+                                     .with("target", one.target)
+                                     .with("silent-ms", std::chrono::duration_cast<milliseconds>(now - silentSince))
+                                     .with("successor", m_successor ? m_successor->target.text() : "none"));
+}
+
+void exchange::freeSlot(attempt &one)
+{
+    if (std::exchange(one.usesSlot, false)) {
+        m_gateway.m_pool.end(one.target, one.pendingPromptTokens);
+    }
+}
+
+void exchange::onSilence(instant now)
+{
+    attempt &silent = *m_attempt;
+    m_gateway.m_pool.noteSilent(now, silent.target, silent.lastByteAt);
+    if (!silent.isSilent) {
+        silent.isSilent = true;
+        m_takeoverVerdict = takeover_verdict::Possible;
+        if (m_streamStarted) {
+            m_gateway.m_silentStreams.emplace(m_serial, weak_from_this());
+        }
+    }
+    // A connection that was lost without a reset would keep the slot until the caller's deadline.
+    if (silent.usesSlot && now >= silent.lastByteAt + longestPause) {
+        freeSlot(silent);
+        m_gateway.notifyInFlightChanged();
+        m_gateway.dispatchQueued();
+    }
+    tryTakeover(now);
+}
+
+void exchange::logSilence(instant now) const
+{
+    m_gateway.m_log.writeRequest(now,
+                                 log_line("target-silent", m_facts.id)
+                                     .with("target", m_attempt->target)
+                                     .with("silent-ms", std::chrono::duration_cast<milliseconds>(now - m_attempt->lastByteAt))
+                                     .with("head", m_attempt->headReceived ? "yes" : "no")
+                                     .with("events", m_attempt->scanner.count())
+                                     .with("unfinished-bytes", m_attempt->scanner.rest().size())
+                                     .with("takeover", m_takeoverVerdict));
+}
+
+bool exchange::isSuspectedNow(instant now) const
+{
+    const crash_evidence &crashes = m_gateway.m_crashes;
+    return m_trial || (crashes.hasSuspects() && crashes.heldUntil(fingerprint()))
+        || (crashes.hasQuarantines() && crashes.until(now, fingerprint()));
+}
+
+takeover_verdict exchange::judgeTakeoverNow(instant now) const
+{
+    takeover_facts facts;
+    facts.budgetAllows = m_gateway.retryBudgetFor(m_service).allows(now);
+    facts.isSuspected = isSuspectedNow(now);
+    facts.endsInTime =
+        m_streamStarted ? now < m_deadlines.callerDeadline : now < m_deadlines.queueDeadline && m_gateway.endsBeforeStop(now, *this);
+    return judgeTakeover(m_history, facts);
+}
+
+const pool_target *exchange::chooseSuccessor(instant now)
+{
+    const bool mayBeLost = now >= m_attempt->lastByteAt + longestPause;
+    const std::set<target_id> present{m_attempt->target};
+    target_query wanted = query();
+    if (!wanted.tried && !mayBeLost) {
+        wanted.tried = &present;
+    }
+    const pool_target *found = m_gateway.m_pool.choose(now, wanted, m_gateway.m_random()).target;
+    return found && (mayBeLost || !found->isAvoided(now)) ? found : nullptr;
+}
+
+void exchange::tryTakeover(instant now)
+{
+    if (m_done || !m_attempt || !m_attempt->isSilent || m_successor || now < m_nextTakeoverAt) {
+        return;
+    }
+    m_nextTakeoverAt = now + takeoverInterval;
+    takeover_verdict verdict = judgeTakeoverNow(now);
+    const pool_target *target = verdict == takeover_verdict::Possible ? chooseSuccessor(now) : nullptr;
+    if (verdict == takeover_verdict::Possible && !target) {
+        verdict = takeover_verdict::NoTarget;
+    }
+    if (verdict != std::exchange(m_takeoverVerdict, verdict) || target) {
+        logSilence(now);
+    }
+    if (!target) {
+        return;
+    }
+    m_gateway.retryBudgetFor(m_service).countRetry(now);
+    m_gateway.m_counters.retries += 1;
+    launch(m_successor.emplace(), *target);
+    m_gateway.notifyInFlightChanged();
+}
+
+void exchange::lead(const attempt &one)
+{
+    if (!m_successor) {
+        return;
+    }
+    if (&one == &*m_successor) {
+        promoteSuccessor();
+    } else {
+        dropSuccessor();
+    }
+}
+
+void exchange::promoteSuccessor()
+{
+    attempt silent = std::exchange(*m_attempt, std::move(*m_successor));
+    m_successor.reset();
+    m_gateway.m_silentStreams.erase(m_serial);
+    m_gateway.m_log.writeRequest(loopNow(),
+                                 log_line("attempt-taken-over", m_facts.id)
+                                     .with("target", silent.target)
+                                     .with("by", m_attempt->target)
+                                     .with("heard", m_attempt->headReceived ? "yes" : "no"));
+    onUnanswered(silent);
+    countAttemptEnd(silent, attempt_outcome::Silent);
+    silent.link->close();
+    release(silent);
+    m_gateway.dispatchQueued();
+}
+
+void exchange::dropSuccessor()
+{
+    attempt dropped = std::move(*m_successor);
+    m_successor.reset();
+    countAttemptEnd(dropped, attempt_outcome::Silent);
+    dropped.link->close();
+    release(dropped);
+    m_gateway.dispatchQueued();
+}
+
+void exchange::leaveToOther(attempt &one)
+{
+    assert(m_attempt && m_successor);
+    const bool successorEnded = &one == &*m_successor;
+    attempt ended = successorEnded ? std::move(*m_successor) : std::exchange(*m_attempt, std::move(*m_successor));
+    m_successor.reset();
+    if (!successorEnded) {
+        m_gateway.m_silentStreams.erase(m_serial);
+    }
+    release(ended);
+    armTimer();
+    m_gateway.dispatchQueued();
+}
+
+instant exchange::handoverDeadline() const
+{
+    return m_successor && m_isEngine ? m_successor->sentAt + engineHandoverTime : farFuture;
+}
+
+void exchange::onHandoverDue()
+{
+    if (m_attempt->isSilent) {
+        promoteSuccessor();
+    } else {
+        dropSuccessor();
+    }
+}
+
+} // namespace fuchsialoom
--- a/packages/gateway/lib/gateway.cpp
+++ b/packages/gateway/lib/gateway.cpp
@@ -217,6 +217,7 @@
     do {
         m_dispatchAgain = false;
         demoteLate(loopNow());
+        tryTakeovers(loopNow());
         std::set<lane_key> blocked;
         std::set<lane_key> notResident;
         while (const queued_request *next = m_queue.next(blocked)) {
@@ -256,6 +257,19 @@
     armQueueTimer();
 }
 
+void gateway::tryTakeovers(instant now)
+{
+    if (m_queue.size() == 0) {
+        return; // room that is there is found by the streams themselves
+    }
+    const auto silent = m_silentStreams;
+    for (const auto &[serial, weak] : silent) {
+        if (const std::shared_ptr<exchange> ex = weak.lock()) {
+            ex->tryTakeover(now);
+        }
+    }
+}
+
 void gateway::demoteLate(instant now)
 {
     for (const auto &[serial, ex] : m_queued) {
--- a/packages/gateway/lib/gateway_quarantine.cpp
+++ b/packages/gateway/lib/gateway_quarantine.cpp
@@ -59,6 +59,14 @@
     // Without an answer the target may be cut off: a death that is found later still counts.
 }
 
+void gateway::noteHeard(const target_id &target)
+{
+    // While a probe is open, the bytes may have been sent before the target died.
+    if (m_pool.noteHeard(loopNow(), target) && !m_probed.contains(target)) {
+        m_crashes.targetAnswered(target);
+    }
+}
+
 void gateway::noteUnreachableElsewhere(const target_id &target)
 {
     m_pool.addResidencyChange(loopNow(), {target, {}, {}, false});
--- a/packages/gateway/lib/retry_rules.cpp
+++ b/packages/gateway/lib/retry_rules.cpp
@@ -7,8 +7,6 @@
 namespace fuchsialoom
 {
 
-/// A target that refuses connections costs about 1 ms; after this many, the request is refused.
-static constexpr std::uint32_t maxConnectFailures = 4;
 static constexpr int bucketsPerWindow = 20;
 /// Share of the limit that the VMs use; the rest covers their differing views of the number of live VMs, and the
 /// resolution of the buckets.
@@ -16,6 +14,9 @@
 
 retry_step nextStep(attempt_outcome outcome, const attempt_history &history, bool budgetAllows)
 {
+    if (history.otherInProgress) {
+        return retry_step::LeaveToOther;
+    }
     const bool attemptsLeft = history.targetsTried < history.attempts;
     switch (outcome) {
     case attempt_outcome::NotSent:
--- a/packages/gateway/lib/silence_rules.cpp
+++ b/packages/gateway/lib/silence_rules.cpp
@@ -21,7 +21,7 @@
     if (!history.repeatable) {
         return takeover_verdict::NotRepeatable;
     }
-    if (history.targetsTried + 1 >= history.attempts) {
+    if (history.targetsTried + 1 >= history.attempts || history.connectFailures >= maxConnectFailures) {
         return takeover_verdict::NoAttemptsLeft;
     }
     if (facts.isSuspected) {
--- a/packages/gateway/lib/target_pool.cpp
+++ b/packages/gateway/lib/target_pool.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace fuchsialoom
 {
@@ -48,6 +49,8 @@
 static constexpr std::uint32_t maxUnreadTokens = 9000;
 /// Weight in the score of an engine's unread prompt tokens, as a share of `maxUnreadTokens`, relative to its used slots.
 static constexpr double unreadCost = 1.0;
+/// For this long after it was seen silent, a target that isn't heard gets only requests that no other target can take.
+static constexpr milliseconds silenceAvoidance{1000};
 /// Random spread of scores, so that VMs with the same view don't all choose the same target.
 static constexpr double jitter = 0.08;
 
@@ -303,7 +306,7 @@
             continue;
         }
         state = state * 6364136223846793005ULL + 1442695040888963407ULL;
-        const bool avoided = now < target.avoidUntil;
+        const bool avoided = target.isAvoided(now);
         const double score = scoreOf(now, target, state >> 33);
         const bool better = !choice.target || (bestAvoided && !avoided) || (bestAvoided == avoided && score < bestScore);
         if (better) {
@@ -393,6 +396,24 @@
     }
 }
 
+void target_pool::noteSilent(instant now, const target_id &id, instant since)
+{
+    const auto found = m_targets.find(id);
+    if (found != m_targets.end() && found->second.heardAt <= since) {
+        found->second.silentUntil = now + silenceAvoidance;
+    }
+}
+
+bool target_pool::noteHeard(instant now, const target_id &id)
+{
+    const auto found = m_targets.find(id);
+    if (found == m_targets.end()) {
+        return false;
+    }
+    found->second.heardAt = now;
+    return std::exchange(found->second.silentUntil, instant{}) > now;
+}
+
 in_flight_counts target_pool::ownInFlight() const
 {
     in_flight_counts counts;
