Callers: the end of a connection doesn't destroy its last answer

Callers saw a reset in place of an answer, or an answer without its end: a 413 while they still sent the body, an answer with Connection: close behind which another request came. The socket was closed as soon as the answer was written. With bytes unread, or when more arrive, the system then resets the connection and drops what the caller hasn't received yet.

The sending side is shut down instead, and what comes is dropped until the caller ends its side, for 2 s and 16 MiB at most. Until then the connection counts as busy, so that a stop doesn't end the process before.

Red before, on: anAnswerIsNotLostToABodyThatIsStillBeingSent (broken pipe after 10 kB), anAnswerIsNotLostToARequestBehindIt (reset inside the answer), aConnectionIsBusyUntilItsCallerHasTheLastAnswer.

--- a/packages/http/include/fuchsialoom/http/caller_link.h
+++ b/packages/http/include/fuchsialoom/http/caller_link.h
@@ -78,7 +78,7 @@
     /// so that a request on its way is still answered.
     void drain(instant idleUntil);
 
-    /// A request is being answered, or part of one has come.
+    /// A request is being answered, part of one has come, or the caller may still be receiving the last answer.
     bool isBusy() const;
     bool isOpen() const
     {
@@ -103,6 +103,8 @@
     /// Whether closing the socket resets the connection.
     void setResetOnClose(bool resets);
     void onAnswered();
+    /// Ends this side of the connection, then drops what comes until the caller ends its own.
+    void linger();
     void onLost();
     void watchTime();
     void onTime();
@@ -117,14 +119,15 @@
     std::string m_outgoing; ///< being written
     std::string m_next; ///< to be written after it
     std::function<void()> m_onGone;
-    instant m_waitUntil; ///< for the rest of a request, or for the next one
+    std::size_t m_droppedBytes = 0; ///< that came after the last request
+    instant m_waitUntil; ///< for the rest of a request, for the next one, or for the caller's end
     bool m_answering = false;
     bool m_streaming = false;
     bool m_toHead = false; ///< the request is a HEAD: no body is sent
     bool m_chunks = true; ///< a stream is sent in chunks; else it ends with the connection
     bool m_keepAlive = true;
     bool m_draining = false;
-    bool m_closing = false; ///< to be closed when everything is written
+    bool m_closing = false; ///< the last answer is being written, or the caller's end is awaited
     bool m_closed = false;
     bool m_writing = false;
     bool m_reading = false;
--- a/packages/http/lib/caller_link.cpp
+++ b/packages/http/lib/caller_link.cpp
@@ -12,6 +12,9 @@
 
 /// A caller that sends on while its request is answered is read up to here, then left waiting.
 static constexpr std::size_t mostBuffered = 65536;
+/// After the last answer, what the caller still sends is read and dropped for this long and up to this much.
+static constexpr milliseconds lingerTime{2000};
+static constexpr std::size_t maxDroppedBytes = 16777216;
 
 std::string_view reasonOf(int status)
 {
@@ -71,7 +74,7 @@
 
 bool caller_link::isBusy() const
 {
-    return m_answering || m_reader.hasStarted() || m_writing || !m_next.empty();
+    return m_answering || m_reader.hasStarted() || m_writing || !m_next.empty() || m_closing;
 }
 
 void caller_link::read()
@@ -97,7 +100,10 @@
 void caller_link::onBytes(std::string_view bytes)
 {
     if (m_closing) {
-        // The connection ends with the answer being written; what comes now was not read.
+        m_droppedBytes += bytes.size();
+        if (m_droppedBytes > maxDroppedBytes) {
+            close();
+        }
         read();
         return;
     }
@@ -151,6 +157,7 @@
 {
     m_answering = true;
     m_keepAlive = false;
+    m_waitUntil = farFuture;
     if (m_events->onRejected) {
         m_events->onRejected(problem);
     }
@@ -294,7 +301,7 @@
         }
         self->flush();
         if (self->m_closing && !self->m_writing) {
-            self->close();
+            self->linger();
         }
     });
 }
@@ -308,7 +315,7 @@
     if (!m_keepAlive) {
         m_closing = true;
         if (!m_writing) {
-            close();
+            linger();
         }
         return;
     }
@@ -323,6 +330,21 @@
     }
 }
 
+/// Closing a socket that has unread bytes resets the connection, which destroys what the caller hasn't received yet.
+void caller_link::linger()
+{
+    m_buffered.clear();
+    asio::error_code problem;
+    m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, problem);
+    if (problem) {
+        close();
+        return;
+    }
+    m_waitUntil = loopNow() + lingerTime;
+    watchTime();
+    read();
+}
+
 void caller_link::onLost()
 {
     if (m_closed) {
--- a/packages/http/unittests/caller_link_test.cpp
+++ b/packages/http/unittests/caller_link_test.cpp
@@ -53,6 +53,15 @@
         m_loop.run_for(length);
     }
 
+    /// A new connection, with the limits that are in force now.
+    void reconnect(int receiveBuffer = 65536)
+    {
+        asio::ip::tcp::socket caller(m_loop, asio::ip::tcp::v4());
+        caller.set_option(asio::socket_base::receive_buffer_size(receiveBuffer));
+        caller.connect(m_listener.address());
+        m_caller = std::move(caller);
+    }
+
     void write(const std::string &text)
     {
         asio::write(m_caller, asio::buffer(text));
@@ -253,4 +262,57 @@
     EXPECT_EQ(text.find("\r\n\r\n"), text.size() - 4) << text;
 }
 
+TEST_F(caller_link_test, anAnswerIsNotLostToABodyThatIsStillBeingSent)
+{
+    m_limits.request.bodyBytes = 1000;
+    reconnect();
+    write("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1000000\r\n\r\n");
+    const std::string piece(10000, 'x');
+    for (int sent = 0; sent < 100; ++sent) {
+        asio::error_code problem;
+        asio::write(m_caller, asio::buffer(piece), problem);
+        ASSERT_FALSE(problem) << problem.message() << " after " << sent;
+        runFor(milliseconds(1));
+    }
+    EXPECT_TRUE(read().starts_with("HTTP/1.1 413 "));
+    EXPECT_TRUE(m_closed);
+    EXPECT_FALSE(m_reset);
+}
+
+TEST_F(caller_link_test, anAnswerIsNotLostToARequestBehindIt)
+{
+    reconnect(4096);
+    m_answerAtOnce = false;
+    write("GET /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+    ASSERT_TRUE(m_link);
+    const std::string body(50000, 'b');
+    m_link->respond(200, {}, body);
+    asio::error_code ignored; // what counts is what can still be read
+    asio::write(m_caller, asio::buffer(std::string(plainRequest)), ignored);
+    std::string text;
+    for (int round = 0; round < 200 && !m_closed; ++round) {
+        runFor(milliseconds(2));
+        text += read();
+    }
+    EXPECT_TRUE(text.ends_with("\r\n\r\n" + body)) << text.size();
+    EXPECT_FALSE(m_reset);
+}
+
+TEST_F(caller_link_test, aConnectionIsBusyUntilItsCallerHasTheLastAnswer)
+{
+    write("GET /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+    EXPECT_EQ(m_listener.busyLinks(), 1U);
+    m_caller.close();
+    runFor(milliseconds(10));
+    EXPECT_EQ(m_listener.busyLinks(), 0U);
+    EXPECT_EQ(m_listener.openLinks(), 0U);
+}
+
+TEST_F(caller_link_test, aCallerWhoNeverLeavesIsNotWaitedForAfterTheLastAnswer)
+{
+    write("GET /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+    runFor(milliseconds(2500));
+    EXPECT_EQ(m_listener.openLinks(), 0U);
+}
+
 } // namespace fuchsialoom
