Callers: what arrived in time is read before a connection counts as idle

Callers whose request arrived while the process stood still got a closed connection. The timers and the sockets come due together then, and the event loop takes a bounded number of sockets before it runs the timers, so the rest were closed with their requests unread. The wait is over only when nothing is left to read; a stop's end of idle connections goes the same way, and such a request gets its 503.

--- a/packages/http/include/fuchsialoom/http/caller_link.h
+++ b/packages/http/include/fuchsialoom/http/caller_link.h
@@ -92,6 +92,8 @@
     }
 
 private:
+    static constexpr std::size_t readBytes = 8192;
+
     void read();
     void onBytes(std::string_view bytes);
     void readRequests();
@@ -108,6 +110,9 @@
     void onLost();
     void watchTime();
     void onTime();
+    bool isWaitOver() const;
+    /// Takes bytes that have arrived, without waiting. \return whether there were any.
+    bool readArrived();
     void close();
 
     asio::ip::tcp::socket m_socket;
@@ -115,7 +120,7 @@
     std::shared_ptr<const caller_events> m_events;
     request_reader m_reader;
     std::string m_buffered; ///< bytes after the request that is being answered; bounded by mostBuffered
-    std::array<char, 8192> m_incoming;
+    std::array<char, readBytes> m_incoming;
     std::string m_outgoing; ///< being written
     std::string m_next; ///< to be written after it
     std::function<void()> m_onGone;
--- a/packages/http/lib/caller_link.cpp
+++ b/packages/http/lib/caller_link.cpp
@@ -15,6 +15,8 @@
 /// After the last answer, what the caller still sends is read and dropped for this long and up to this much.
 static constexpr milliseconds lingerTime{2000};
 static constexpr std::size_t maxDroppedBytes = 16777216;
+/// Reads of one connection in a row, so that a caller who never pauses doesn't hold up the others.
+static constexpr int maxReadsOnTime = 8;
 
 std::string_view reasonOf(int status)
 {
@@ -377,13 +379,38 @@
     if (m_closed || m_answering) {
         return;
     }
-    if (loopNow() < m_waitUntil) {
+    // After the process stood still, timers may run before the reads of what arrived in time.
+    for (int reads = 0; isWaitOver() && reads < maxReadsOnTime && readArrived(); ++reads) {}
+    if (m_closed || m_answering) {
+        return;
+    }
+    if (!isWaitOver()) {
         watchTime();
         return;
     }
     close();
 }
 
+bool caller_link::isWaitOver() const
+{
+    return !m_closed && !m_answering && loopNow() >= m_waitUntil;
+}
+
+bool caller_link::readArrived()
+{
+    asio::error_code problem;
+    if (m_closing || m_socket.available(problem) == 0 || problem) {
+        return false;
+    }
+    std::array<char, readBytes> arrived; // not m_incoming, which the pending read fills
+    const std::size_t size = m_socket.read_some(asio::buffer(arrived), problem);
+    if (problem) {
+        return false;
+    }
+    onBytes(std::string_view(arrived.data(), size));
+    return true;
+}
+
 void caller_link::drain(instant idleUntil)
 {
     m_draining = true;
--- a/packages/http/unittests/caller_link_test.cpp
+++ b/packages/http/unittests/caller_link_test.cpp
@@ -7,6 +7,7 @@
 #include <gtest/gtest.h>
 
 #include <optional>
+#include <thread>
 
 namespace fuchsialoom
 {
@@ -21,7 +22,7 @@
         : m_listener(m_loop, {asio::ip::address_v4::loopback(), 0}, events())
         , m_caller(m_loop)
     {
-        m_listener.start(100);
+        m_listener.start(1000);
         m_caller.connect(m_listener.address());
     }
 
@@ -315,4 +316,26 @@
     EXPECT_EQ(m_listener.openLinks(), 0U);
 }
 
+TEST_F(caller_link_test, requestsThatArrivedWhileTheProcessStoodStillAreAnswered)
+{
+    m_limits.idleTimeout = milliseconds(100);
+    // More than the event loop takes from the system at once.
+    static constexpr std::size_t count = 200;
+    std::vector<asio::ip::tcp::socket> callers;
+    for (std::size_t number = 0; number < count; ++number) {
+        callers.emplace_back(m_loop).connect(m_listener.address());
+        runFor(milliseconds(0));
+    }
+    runFor(milliseconds(1));
+    asio::steady_timer early(m_loop, milliseconds(5));
+    early.async_wait([](const asio::error_code &) {});
+    std::this_thread::sleep_for(milliseconds(10));
+    for (asio::ip::tcp::socket &caller : callers) {
+        asio::write(caller, asio::buffer(std::string(plainRequest)));
+    }
+    std::this_thread::sleep_for(milliseconds(150));
+    runFor(milliseconds(30));
+    EXPECT_EQ(m_requests.size(), count);
+}
+
 } // namespace fuchsialoom
