Callers: limits that change hold for open connections

Beside a change of the limits, callers on open connections got a 413 or 431 for what the configuration allowed, or were closed before the new idle time: a connection took the limits when it began, and the idle time when the last answer was given. Sizes are now those in force at the first byte of a request, and for a request under way the larger ones. A wait ends at the later of the time promised when it began and the one that the limits in force give, compared at the end of the wait. A connection that is still being written to isn't idle when a stop ends the idle ones.

Red before, on: aLongerIdleTimeHoldsForConnectionsThatAreIdleAlready, largerSizesHoldForTheNextRequestOfAnOpenConnection. The two tests of limits that shrink were green before and guard the other direction.

--- a/packages/http/include/fuchsialoom/http/caller_link.h
+++ b/packages/http/include/fuchsialoom/http/caller_link.h
@@ -49,7 +49,7 @@
     std::function<void(const std::shared_ptr<caller_link> &, received_request)> onRequest;
     /// A connection sent what is no request; it was answered and closed.
     std::function<void(reading_problem)> onRejected;
-    /// The limits in force, asked for when a connection starts on a request.
+    /// The limits in force now; they may change while a connection is open.
     std::function<const caller_limits &()> limits;
 };
 
@@ -108,6 +108,10 @@
     /// Ends this side of the connection, then drops what comes until the caller ends its own.
     void linger();
     void onLost();
+    milliseconds timeoutInForce() const;
+    void waitFrom(instant began);
+    instant waitEnd() const;
+    /// Has onTime() called at the end of the wait, or earlier.
     void watchTime();
     void onTime();
     bool isWaitOver() const;
@@ -125,7 +129,9 @@
     std::string m_next; ///< to be written after it
     std::function<void()> m_onGone;
     std::size_t m_droppedBytes = 0; ///< that came after the last request
-    instant m_waitUntil; ///< for the rest of a request, for the next one, or for the caller's end
+    instant m_waitBegan; ///< for the rest of a request, for the next one, or for the caller's end
+    instant m_waitUntil; ///< end of the wait by the timeout in force when it began
+    instant m_drainUntil = farFuture; ///< idle connections are closed then
     bool m_answering = false;
     bool m_streaming = false;
     bool m_toHead = false; ///< the request is a HEAD: no body is sent
@@ -136,6 +142,7 @@
     bool m_closed = false;
     bool m_writing = false;
     bool m_reading = false;
+    bool m_watching = false; ///< the timer is set
     bool m_continued = false; ///< leave to send the body was given
 };
 
--- a/packages/http/include/fuchsialoom/http/request_reader.h
+++ b/packages/http/include/fuchsialoom/http/request_reader.h
@@ -64,6 +64,10 @@
     request_reader(const request_reader &) = delete;
     request_reader &operator=(const request_reader &) = delete;
 
+    request_limits limits() const;
+    /// Also holds for the request that is being read, as far as its size hasn't been judged yet.
+    void setLimits(request_limits limits);
+
     /// Takes bytes up to the end of one request. \return how many; the rest belongs to the next request.
     std::size_t consume(std::string_view bytes);
 
--- a/packages/http/lib/caller_link.cpp
+++ b/packages/http/lib/caller_link.cpp
@@ -4,6 +4,7 @@
 
 #include "fuchsialoom/http/http_link.h"
 
+#include <algorithm>
 #include <cassert>
 #include <cstdio>
 
@@ -57,7 +58,8 @@
     , m_timer(m_socket.get_executor())
     , m_events(std::move(events))
     , m_reader(m_events->limits().request)
-    , m_waitUntil(loopNow() + m_events->limits().idleTimeout)
+    , m_waitBegan(loopNow())
+    , m_waitUntil(m_waitBegan + m_events->limits().idleTimeout)
 {
 }
 
@@ -79,6 +81,11 @@
     return m_answering || m_reader.hasStarted() || m_writing || !m_next.empty() || m_closing;
 }
 
+static request_limits widest(const request_limits &left, const request_limits &right)
+{
+    return {std::max(left.headBytes, right.headBytes), std::max(left.bodyBytes, right.bodyBytes)};
+}
+
 void caller_link::read()
 {
     if (m_reading || m_closed) {
@@ -122,6 +129,8 @@
         return;
     }
     const bool fresh = !m_reader.hasStarted();
+    const request_limits &inForce = m_events->limits().request;
+    m_reader.setLimits(fresh ? inForce : widest(m_reader.limits(), inForce));
     const std::size_t taken = m_reader.consume(m_buffered);
     m_buffered.erase(0, taken);
     if (m_reader.problem() != reading_problem::None) {
@@ -133,8 +142,7 @@
         return;
     }
     if (fresh && m_reader.hasStarted()) {
-        m_waitUntil = loopNow() + m_events->limits().headTimeout;
-        watchTime();
+        waitFrom(loopNow());
     }
     if (m_reader.expectsContinue() && !m_continued) {
         m_continued = true;
@@ -302,8 +310,13 @@
             return;
         }
         self->flush();
-        if (self->m_closing && !self->m_writing) {
+        if (self->m_writing || self->m_answering) {
+            return;
+        }
+        if (self->m_closing) {
             self->linger();
+        } else {
+            self->watchTime();
         }
     });
 }
@@ -321,8 +334,7 @@
         }
         return;
     }
-    m_waitUntil = loopNow() + m_events->limits().idleTimeout;
-    watchTime();
+    waitFrom(loopNow());
     const auto self = shared_from_this();
     if (!m_buffered.empty()) {
         asio::post(m_socket.get_executor(), [self] {
@@ -360,15 +372,45 @@
     }
 }
 
+milliseconds caller_link::timeoutInForce() const
+{
+    const caller_limits &limits = m_events->limits();
+    return m_reader.hasStarted() ? limits.headTimeout : limits.idleTimeout;
+}
+
+void caller_link::waitFrom(instant began)
+{
+    m_waitBegan = began;
+    m_waitUntil = began + timeoutInForce();
+    watchTime();
+}
+
+/// The caller may rely on the timeout in force when the wait began and on a longer one that has come into force since.
+instant caller_link::waitEnd() const
+{
+    if (m_closing) {
+        return m_waitUntil;
+    }
+    const instant end = std::max(m_waitUntil, m_waitBegan + timeoutInForce());
+    return m_reader.hasStarted() || m_writing ? end : std::min(end, m_drainUntil);
+}
+
 void caller_link::watchTime()
 {
-    if (m_timer.expiry().time_since_epoch() == m_waitUntil.time_since_epoch() || m_closed) {
+    const instant end = waitEnd();
+    if (m_closed || end == farFuture) {
+        return;
+    }
+    const std::chrono::steady_clock::time_point due(end.time_since_epoch());
+    if (m_watching && m_timer.expiry() <= due) {
         return;
     }
+    m_watching = true;
     const auto self = shared_from_this();
-    m_timer.expires_at(std::chrono::steady_clock::time_point(m_waitUntil.time_since_epoch()));
+    m_timer.expires_at(due);
     m_timer.async_wait([self](const asio::error_code &problem) {
         if (!problem) {
+            self->m_watching = false;
             self->onTime();
         }
     });
@@ -393,7 +435,7 @@
 
 bool caller_link::isWaitOver() const
 {
-    return !m_closed && !m_answering && loopNow() >= m_waitUntil;
+    return !m_closed && !m_answering && loopNow() >= waitEnd();
 }
 
 bool caller_link::readArrived()
@@ -414,8 +456,8 @@
 void caller_link::drain(instant idleUntil)
 {
     m_draining = true;
-    if (!m_answering && !m_closed) {
-        m_waitUntil = std::min(m_waitUntil, idleUntil);
+    m_drainUntil = idleUntil;
+    if (!m_answering) {
         watchTime();
     }
 }
--- a/packages/http/lib/request_reader.cpp
+++ b/packages/http/lib/request_reader.cpp
@@ -151,6 +151,16 @@
 
 request_reader::~request_reader() = default;
 
+request_limits request_reader::limits() const
+{
+    return m_state->limits;
+}
+
+void request_reader::setLimits(request_limits limits)
+{
+    m_state->limits = limits;
+}
+
 bool request_reader::isComplete() const
 {
     return m_state->complete;
--- a/packages/http/unittests/caller_link_test.cpp
+++ b/packages/http/unittests/caller_link_test.cpp
@@ -338,4 +338,56 @@
     EXPECT_EQ(m_requests.size(), count);
 }
 
+TEST_F(caller_link_test, aLongerIdleTimeHoldsForConnectionsThatAreIdleAlready)
+{
+    m_limits.idleTimeout = milliseconds(40);
+    write(plainRequest);
+    m_limits.idleTimeout = milliseconds(400);
+    runFor(milliseconds(150));
+    read();
+    ASSERT_FALSE(m_closed);
+    write(plainRequest);
+    EXPECT_EQ(m_requests.size(), 2U);
+    read();
+    EXPECT_FALSE(m_closed);
+}
+
+TEST_F(caller_link_test, aShorterIdleTimeDoesNotEndAWaitThatBeganBefore)
+{
+    m_limits.idleTimeout = milliseconds(300);
+    write(plainRequest);
+    m_limits.idleTimeout = milliseconds(20);
+    runFor(milliseconds(100));
+    read();
+    EXPECT_FALSE(m_closed);
+    write(plainRequest);
+    EXPECT_EQ(m_requests.size(), 2U);
+    runFor(milliseconds(100));
+    read();
+    EXPECT_TRUE(m_closed);
+}
+
+TEST_F(caller_link_test, largerSizesHoldForTheNextRequestOfAnOpenConnection)
+{
+    m_limits.request = {60, 10};
+    reconnect();
+    write(plainRequest);
+    read();
+    m_limits.request = {1000, 1000};
+    write("POST /" + std::string(100, 'p') + " HTTP/1.1\r\nHost: h\r\nContent-Length: 100\r\n\r\n" + std::string(100, 'b'));
+    EXPECT_EQ(m_requests.size(), 2U);
+    EXPECT_EQ(m_rejected, std::nullopt);
+}
+
+TEST_F(caller_link_test, smallerSizesDoNotRejectARequestThatHasBegun)
+{
+    m_limits.request = {1000, 1000};
+    write("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 100\r\n");
+    m_limits.request = {10, 10};
+    write("\r\n");
+    write(std::string(100, 'b'));
+    EXPECT_EQ(m_requests.size(), 1U);
+    EXPECT_EQ(m_rejected, std::nullopt);
+}
+
 } // namespace fuchsialoom
