Callers: a body may take as long as it makes progress, and the rest is answered

Callers that sent a long body slowly were closed without an answer: the time for the head went on while the body came. A body now has the idle time from its last byte on. A request whose rest doesn't come gets 408, which says that it wasn't run, in place of a silent close.

Red before, on: aLongBodyIsReadForAsLongAsItMakesProgress, aRequestWhoseRestDoesNotComeIsAnswered.

--- a/packages/http/include/fuchsialoom/http/request_reader.h
+++ b/packages/http/include/fuchsialoom/http/request_reader.h
@@ -39,6 +39,7 @@
     AmbiguousFraming, ///< length and chunks, several lengths, a coding other than chunked
     HeadTooLarge,
     BodyTooLarge,
+    TimedOut, ///< the rest didn't come in time
 };
 
 template<>
@@ -50,6 +51,7 @@
         {reading_problem::AmbiguousFraming, "ambiguous-framing"},
         {reading_problem::HeadTooLarge, "head-too-large"},
         {reading_problem::BodyTooLarge, "body-too-large"},
+        {reading_problem::TimedOut, "timed-out"},
     });
 };
 
@@ -77,6 +79,9 @@
     /// Some byte of a request has come.
     bool hasStarted() const;
 
+    /// The head is whole; the request may be complete.
+    bool hasHead() const;
+
     /// The head is whole, and the caller waits for leave to send the body (`Expect: 100-continue`).
     bool expectsContinue() const;
 
--- a/packages/http/lib/caller_link.cpp
+++ b/packages/http/lib/caller_link.cpp
@@ -141,7 +141,7 @@
         takeRequest();
         return;
     }
-    if (fresh && m_reader.hasStarted()) {
+    if (m_reader.hasHead() || (fresh && m_reader.hasStarted())) {
         waitFrom(loopNow());
     }
     if (m_reader.expectsContinue() && !m_continued) {
@@ -375,7 +375,8 @@
 milliseconds caller_link::timeoutInForce() const
 {
     const caller_limits &limits = m_events->limits();
-    return m_reader.hasStarted() ? limits.headTimeout : limits.idleTimeout;
+    // A body may take as long as it makes progress.
+    return m_reader.hasStarted() && !m_reader.hasHead() ? limits.headTimeout : limits.idleTimeout;
 }
 
 void caller_link::waitFrom(instant began)
@@ -430,6 +431,10 @@
         watchTime();
         return;
     }
+    if (m_reader.hasStarted() && !m_closing) {
+        reject(reading_problem::TimedOut);
+        return;
+    }
     close();
 }
 
--- a/packages/http/lib/request_reader.cpp
+++ b/packages/http/lib/request_reader.cpp
@@ -23,6 +23,8 @@
         return 431;
     case reading_problem::BodyTooLarge:
         return 413;
+    case reading_problem::TimedOut:
+        return 408;
     case reading_problem::None:
     case reading_problem::Malformed:
     case reading_problem::AmbiguousFraming:
@@ -176,6 +178,11 @@
     return m_state->headWhole || !m_state->head.empty();
 }
 
+bool request_reader::hasHead() const
+{
+    return m_state->headWhole;
+}
+
 bool request_reader::expectsContinue() const
 {
     return m_state->headWhole && !m_state->complete && m_state->request.headers.hasToken("Expect", "100-continue");
--- a/packages/http/unittests/caller_link_test.cpp
+++ b/packages/http/unittests/caller_link_test.cpp
@@ -390,4 +390,31 @@
     EXPECT_EQ(m_rejected, std::nullopt);
 }
 
+TEST_F(caller_link_test, aLongBodyIsReadForAsLongAsItMakesProgress)
+{
+    m_limits.headTimeout = milliseconds(60);
+    m_limits.idleTimeout = milliseconds(150);
+    write("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\n");
+    for (int number = 0; number < 10; ++number) {
+        runFor(milliseconds(20));
+        write("b");
+    }
+    ASSERT_EQ(m_requests.size(), 1U);
+    EXPECT_EQ(m_requests.at(0).body, "bbbbbbbbbb");
+}
+
+TEST_F(caller_link_test, aRequestWhoseRestDoesNotComeIsAnswered)
+{
+    m_limits.headTimeout = milliseconds(40);
+    m_limits.idleTimeout = milliseconds(40);
+    for (const char *part : {"GET / HT", "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\nabc"}) {
+        reconnect();
+        write(part);
+        runFor(milliseconds(100));
+        EXPECT_TRUE(read().starts_with("HTTP/1.1 408 ")) << part;
+        EXPECT_TRUE(m_closed);
+        EXPECT_EQ(m_rejected, reading_problem::TimedOut);
+    }
+}
+
 } // namespace fuchsialoom
