Callers: connections that are open when a VM stops to listen are answered

Callers whose connection the system had completed for the listening socket were reset when a stop closed it, with their request sent. What is there is accepted first.

--- a/packages/http/include/fuchsialoom/http/caller_link.h
+++ b/packages/http/include/fuchsialoom/http/caller_link.h
@@ -155,6 +155,7 @@
 
     /// Connections count against \p most; beyond it new ones wait.
     void start(std::size_t most);
+    /// Takes the connections that callers have opened so far, and no more.
     void stopAccepting();
     void drain(instant idleUntil);
 
@@ -167,6 +168,7 @@
 
 private:
     void accept();
+    void startLink(asio::ip::tcp::socket socket);
     void sweep();
 
     asio::ip::tcp::acceptor m_acceptor;
--- a/packages/http/lib/caller_link.cpp
+++ b/packages/http/lib/caller_link.cpp
@@ -523,17 +523,22 @@
             return;
         }
         if (!problem) {
-            const auto link = std::make_shared<caller_link>(std::move(socket), m_events);
-            m_links.push_back(link);
-            link->start();
-            if (m_draining) {
-                link->drain(m_idleUntil);
-            }
+            startLink(std::move(socket));
         }
         accept();
     });
 }
 
+void caller_listener::startLink(asio::ip::tcp::socket socket)
+{
+    const auto link = std::make_shared<caller_link>(std::move(socket), m_events);
+    m_links.push_back(link);
+    link->start();
+    if (m_draining) {
+        link->drain(m_idleUntil);
+    }
+}
+
 void caller_listener::sweep()
 {
     std::erase_if(m_links, [](const std::weak_ptr<caller_link> &link) {
@@ -546,8 +551,16 @@
 
 void caller_listener::stopAccepting()
 {
-    asio::error_code ignored; // the port is gone either way
-    m_acceptor.close(ignored);
+    asio::error_code problem;
+    m_acceptor.non_blocking(true, problem);
+    while (!problem || problem == asio::error::connection_aborted) {
+        // Closing the listening socket resets the connections that the system has completed for it.
+        asio::ip::tcp::socket socket = m_acceptor.accept(problem);
+        if (!problem) {
+            startLink(std::move(socket));
+        }
+    }
+    m_acceptor.close(problem); // the port is gone either way
     m_retry.cancel();
 }
 
--- a/packages/http/unittests/caller_link_test.cpp
+++ b/packages/http/unittests/caller_link_test.cpp
@@ -417,4 +417,18 @@
     }
 }
 
+TEST_F(caller_link_test, connectionsThatAreOpenWhenTheListenerStopsAreAnswered)
+{
+    runFor(milliseconds(10));
+    std::vector<asio::ip::tcp::socket> callers;
+    for (int number = 0; number < 5; ++number) {
+        callers.emplace_back(m_loop).connect(m_listener.address());
+        asio::write(callers.back(), asio::buffer(std::string(plainRequest)));
+    }
+    m_listener.drain(loopNow());
+    m_listener.stopAccepting();
+    runFor(milliseconds(30));
+    EXPECT_EQ(m_requests.size(), callers.size());
+}
+
 } // namespace fuchsialoom
