--- a/tests/platform_world.cpp
+++ b/tests/platform_world.cpp
@@ -9,6 +9,7 @@
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <utility>
 
 #include <sys/time.h>
 
@@ -97,27 +98,31 @@
     vm_entry &made = m_vms[name];
     made.callers = freeAddress();
     made.ready = freeAddress();
-    made.settings = m_folder + "/" + name + ".json";
+    made.settingsPath = m_folder + "/" + name + ".json";
     const std::string peers = freeAddress();
     made.metrics = freeAddress();
     const auto store = call([this] {
         return m_store->address();
     });
-    const nlohmann::json settings{{"vm", name},
-                                  {"domain", domain},
-                                  {"region", "r"},
-                                  {"callers", made.callers},
-                                  {"ready", made.ready},
-                                  // The mark that reserves a port is a datagram socket at 127.0.0.1.
-                                  {"address", "127.0.0.2"},
-                                  {"firstPort", std::stoi(peers.substr(peers.find(':') + 1))},
-                                  {"lastPort", std::stoi(made.metrics.substr(made.metrics.find(':') + 1))},
-                                  {"seeds", nlohmann::json::array()},
-                                  {"store", "127.0.0.1:" + std::to_string(storePort > 0 ? storePort : store.port())},
-                                  {"limits", {{"max_fds", 4096}}},
-                                  {"bounds", {{"lease_ms", 500}, {"grace_s", 8}}}};
-    std::ofstream(made.settings) << settings.dump();
-    made.process = std::make_unique<child_process>(name, "tools/fuchsialoomd", std::vector<std::string>{"--config=" + made.settings});
+    made.settings = nlohmann::json{{"vm", name},
+                                   {"domain", domain},
+                                   {"region", "r"},
+                                   {"callers", made.callers},
+                                   {"ready", made.ready},
+                                   // The mark that reserves a port is a datagram socket at 127.0.0.1.
+                                   {"address", "127.0.0.2"},
+                                   {"firstPort", std::stoi(peers.substr(peers.find(':') + 1))},
+                                   {"lastPort", std::stoi(made.metrics.substr(made.metrics.find(':') + 1))},
+                                   {"seeds", nlohmann::json::array()},
+                                   {"store", "127.0.0.1:" + std::to_string(storePort > 0 ? storePort : store.port())},
+                                   {"limits", {{"max_fds", 4096}}},
+                                   {"bounds", {{"lease_ms", 500}, {"grace_s", 8}}}};
+    std::string text = made.settings.dump();
+    if (std::exchange(m_cutsSettings, false)) {
+        text.resize(text.size() / 2);
+    }
+    std::ofstream(made.settingsPath) << text;
+    made.process = std::make_unique<child_process>(name, "tools/fuchsialoomd", std::vector<std::string>{"--config=" + made.settingsPath});
     return name;
 }
 
--- a/tests/platform_world.h
+++ b/tests/platform_world.h
@@ -90,6 +90,20 @@
     {
         return *m_vms.at(name).process;
     }
+    /// The settings that the VM \p name was started with.
+    const nlohmann::json &settingsOf(const std::string &name) const
+    {
+        return m_vms.at(name).settings;
+    }
+    const std::string &settingsPathOf(const std::string &name) const
+    {
+        return m_vms.at(name).settingsPath;
+    }
+    /// Writes all but the end of the settings file of a VM that is started next.
+    void cutNextSettings()
+    {
+        m_cutsSettings = true;
+    }
     bool isReady(const std::string &name);
     bool waitReady(const std::string &name);
 
@@ -125,7 +139,8 @@
         std::string callers;
         std::string ready;
         std::string metrics;
-        std::string settings;
+        std::string settingsPath;
+        nlohmann::json settings;
     };
 
     asio::io_context m_loop; ///< of the stand-ins
@@ -136,6 +151,7 @@
     std::map<std::string, vm_entry> m_vms;
     nlohmann::json m_teams;
     std::string m_folder;
+    bool m_cutsSettings = false;
     std::thread m_thread;
 };
 
