Gateway: a waiting request goes where the configuration in force sends it

Callers waited in vain, until their time was over, for a service that their route had left or that was gone: the service was chosen when the request came, and a change of the configuration didn't touch the queue. A request that no target has seen is now routed anew when its route no longer leads to its service, its deadlines counting from its arrival; it is refused as not run where nothing can serve it. A route that is gone is still served while its service is there.

Red before (without the call in configure()): aRequestThatWaitsForAServiceThatItsRouteHasLeftGoesToTheNewOne, aRequestThatWaitsForAServiceThatIsGoneIsRefusedAtOnce. Green before: aRequestThatWaitsIsServedThoughItsRouteIsGone.

--- a/packages/gateway/include/fuchsialoom/gateway/gateway.h
+++ b/packages/gateway/include/fuchsialoom/gateway/gateway.h
@@ -245,6 +245,9 @@
     void enqueue(const std::shared_ptr<exchange> &ex);
     void notifyInFlightChanged();
     void configureTeams();
+    /// Applies the configuration in force to the queued requests that were sent to no target yet.
+    void rerouteQueued();
+    void reroute(exchange &ex);
     void onExchangeDone(exchange &ex);
     pool_verdict tryDispatch(exchange &ex);
     /// Moves queued requests that can no longer meet their objective behind those that can.
--- a/packages/gateway/include/fuchsialoom/gateway/routes.h
+++ b/packages/gateway/include/fuchsialoom/gateway/routes.h
@@ -60,6 +60,9 @@
     bool resumable = false; ///< a stream may be resumed at another target after a given event
     bool isPublic = false; ///< requests need no key
 
+    /// Whether requests may go to \p service.
+    bool leadsTo(const service_id &service) const;
+
     /// Whether a request may run more than once.
     bool isRepeatable() const
     {
--- a/packages/gateway/lib/exchange.h
+++ b/packages/gateway/lib/exchange.h
@@ -95,6 +95,8 @@
     /// Answers a request that the configuration doesn't allow with \p status.
     void deny(int status, header_list headers, log_line line);
     void resolveRoute();
+    /// Takes another route than at the request's arrival; its deadlines still count from there.
+    void followRoute(const route &other);
     bool isModelServed() const;
     bool isStream() const
     {
--- a/packages/gateway/lib/exchange_admission.cpp
+++ b/packages/gateway/lib/exchange_admission.cpp
@@ -45,6 +45,17 @@
     return false;
 }
 
+void exchange::followRoute(const route &other)
+{
+    m_route = other;
+    m_configVersion = m_gateway.configuration().version;
+    const team *payer = m_team ? m_gateway.m_teams.find(*m_team) : nullptr;
+    if (payer) {
+        m_route.rank = payer->rank.value_or(m_route.rank);
+    }
+    resolveRoute();
+}
+
 bool exchange::chargeTeam()
 {
     if (!m_team || m_team->empty()) {
--- a/packages/gateway/lib/gateway.cpp
+++ b/packages/gateway/lib/gateway.cpp
@@ -51,10 +51,52 @@
     m_routes.assign(configuration.routes);
     m_configuration = std::move(configuration);
     configureTeams();
+    rerouteQueued();
     dispatchQueued();
     return true;
 }
 
+void gateway::rerouteQueued()
+{
+    std::vector<std::shared_ptr<exchange>> unsent;
+    for (const auto &[serial, ex] : m_queued) {
+        if (ex->m_attemptNumber == 0) {
+            unsent.push_back(ex);
+        }
+    }
+    for (const std::shared_ptr<exchange> &ex : unsent) {
+        if (!ex->isDone() && ex->m_attemptNumber == 0) {
+            reroute(*ex);
+        }
+    }
+}
+
+void gateway::reroute(exchange &ex)
+{
+    const std::string *host = ex.m_request.headers.find("Host");
+    const route *found = host ? m_routes.find(*host, ex.m_request.path()) : nullptr;
+    // A request that arrived before its route was removed may still be served.
+    const bool stays = found ? found->leadsTo(ex.m_service) : m_configuration->services.contains(ex.m_service);
+    if (stays) {
+        return;
+    }
+    if (!found) {
+        ex.refuse(refusal::NoTarget, std::nullopt);
+        return;
+    }
+    const service_id before = ex.m_service;
+    ex.endTrial();
+    m_queue.remove(ex.serial());
+    ex.followRoute(*found);
+    m_queue.push(ex.queueEntry());
+    m_log.writeRequest(loopNow(), log_line("rerouted", ex.facts().id).with("from", before).with("to", ex.m_service));
+    if (!ex.isModelServed()) {
+        ex.refuse(refusal::UnknownModel, std::nullopt);
+        return;
+    }
+    ex.armTimer();
+}
+
 void gateway::configureTeams()
 {
     m_teams.assign(m_configuration->teams.value_or(std::vector<team>()));
--- a/packages/gateway/lib/routes.cpp
+++ b/packages/gateway/lib/routes.cpp
@@ -50,6 +50,13 @@
     return found == models.end() ? nullptr : &*found;
 }
 
+bool route::leadsTo(const service_id &service) const
+{
+    return std::any_of(services.begin(), services.end(), [&service](const service_share &share) {
+        return share.service == service && share.weight > 0;
+    });
+}
+
 void route_table::assign(std::vector<route> routes)
 {
     m_hosts.clear();
--- a/packages/gateway/unittests/gateway_test.cpp
+++ b/packages/gateway/unittests/gateway_test.cpp
@@ -124,30 +124,30 @@
     }
 
     /// Configures one route to one plain service.
-    void configure(milliseconds objective, milliseconds timeout)
+    void configure(milliseconds objective, milliseconds timeout, std::uint64_t version = 1, const std::string &service = "s")
     {
         route made;
         made.name = "r";
         made.host = "h";
         made.prefix = "/";
         made.kind = request_kind::NonIdempotent;
-        made.services = {{service_id("s"), 1}};
+        made.services = {{service_id(service), 1}};
         made.objective = objective;
         made.timeout = timeout;
         made.attempts = 2;
         gateway_configuration configuration;
-        configuration.version = 1;
+        configuration.version = version;
         configuration.routes = {made};
-        configuration.services[service_id("s")] = {};
+        configuration.services[service_id(service)] = {};
         m_gateway.configure(std::move(configuration));
     }
 
     /// Adds a target, as the platform's target directory does.
-    void list(const std::string &id)
+    void list(const std::string &id, const std::string &service = "s")
     {
         target_listing target;
         target.id = target_id(id);
-        target.service = service_id("s");
+        target.service = service_id(service);
         target.address = {m_target.address().address().to_string(), m_target.address().port()};
         target.domain = domain_id("d");
         m_gateway.pool().list(loopNow(), target);
@@ -285,4 +285,44 @@
     EXPECT_TRUE(answer().starts_with(refusedAnswer));
 }
 
+TEST_F(gateway_test, aRequestThatWaitsForAServiceThatItsRouteHasLeftGoesToTheNewOne)
+{
+    configure(objective, longTimeout);
+    sendRequest();
+    list("t1", "other");
+    configure(objective, longTimeout, 2, "other");
+    runUntil([this] {
+        return !m_atTarget.empty();
+    });
+    EXPECT_EQ(m_atTarget.size(), 1U);
+}
+
+TEST_F(gateway_test, aRequestThatWaitsForAServiceThatIsGoneIsRefusedAtOnce)
+{
+    configure(objective, longTimeout);
+    sendRequest();
+    gateway_configuration empty;
+    empty.version = 2;
+    m_gateway.configure(std::move(empty));
+    EXPECT_TRUE(answer().starts_with(refusedAnswer));
+    list("t1");
+    runFor(deliveryTime);
+    EXPECT_EQ(m_atTarget.size(), 0U);
+}
+
+TEST_F(gateway_test, aRequestThatWaitsIsServedThoughItsRouteIsGone)
+{
+    configure(objective, longTimeout);
+    sendRequest();
+    gateway_configuration routeless;
+    routeless.version = 2;
+    routeless.services[service_id("s")] = {};
+    m_gateway.configure(std::move(routeless));
+    list("t1");
+    runUntil([this] {
+        return !m_atTarget.empty();
+    });
+    EXPECT_EQ(m_atTarget.size(), 1U);
+}
+
 } // namespace fuchsialoom
