--- a/packages/http/lib/caller_link.cpp
+++ b/packages/http/lib/caller_link.cpp
@@ -4,6 +4,7 @@
 
 #include "fuchsialoom/http/http_link.h"
 
+#include <algorithm>
 #include <cassert>
 #include <cstdio>
 
@@ -12,6 +13,11 @@
 
 /// A caller that sends on while its request is answered is read up to here, then left waiting.
 static constexpr std::size_t mostBuffered = 65536;
+/// After the last answer, what the caller still sends is read and dropped for this long and up to this much.
+static constexpr milliseconds lingerTime{2000};
+static constexpr std::size_t maxDroppedBytes = 16777216;
+/// Reads of one connection in a row, so that a caller who never pauses doesn't hold up the others.
+static constexpr int maxReadsOnTime = 8;
 
 std::string_view reasonOf(int status)
 {
@@ -52,7 +58,8 @@
     , m_timer(m_socket.get_executor())
     , m_events(std::move(events))
     , m_reader(m_events->limits().request)
-    , m_waitUntil(loopNow() + m_events->limits().idleTimeout)
+    , m_waitBegan(loopNow())
+    , m_waitUntil(m_waitBegan + m_events->limits().idleTimeout)
 {
 }
 
@@ -71,7 +78,12 @@
 
 bool caller_link::isBusy() const
 {
-    return m_answering || m_reader.hasStarted() || m_writing || !m_next.empty();
+    return m_answering || m_reader.hasStarted() || m_writing || !m_next.empty() || m_closing;
+}
+
+static request_limits widest(const request_limits &left, const request_limits &right)
+{
+    return {std::max(left.headBytes, right.headBytes), std::max(left.bodyBytes, right.bodyBytes)};
 }
 
 void caller_link::read()
@@ -97,7 +109,10 @@
 void caller_link::onBytes(std::string_view bytes)
 {
     if (m_closing) {
-        // The connection ends with the answer being written; what comes now was not read.
+        m_droppedBytes += bytes.size();
+        if (m_droppedBytes > maxDroppedBytes) {
+            close();
+        }
         read();
         return;
     }
@@ -114,6 +129,8 @@
         return;
     }
     const bool fresh = !m_reader.hasStarted();
+    const request_limits &inForce = m_events->limits().request;
+    m_reader.setLimits(fresh ? inForce : widest(m_reader.limits(), inForce));
     const std::size_t taken = m_reader.consume(m_buffered);
     m_buffered.erase(0, taken);
     if (m_reader.problem() != reading_problem::None) {
@@ -124,9 +141,8 @@
         takeRequest();
         return;
     }
-    if (fresh && m_reader.hasStarted()) {
-        m_waitUntil = loopNow() + m_events->limits().headTimeout;
-        watchTime();
+    if (m_reader.hasHead() || (fresh && m_reader.hasStarted())) {
+        waitFrom(loopNow());
     }
     if (m_reader.expectsContinue() && !m_continued) {
         m_continued = true;
@@ -151,6 +167,7 @@
 {
     m_answering = true;
     m_keepAlive = false;
+    m_waitUntil = farFuture;
     if (m_events->onRejected) {
         m_events->onRejected(problem);
     }
@@ -293,8 +310,13 @@
             return;
         }
         self->flush();
-        if (self->m_closing && !self->m_writing) {
-            self->close();
+        if (self->m_writing || self->m_answering) {
+            return;
+        }
+        if (self->m_closing) {
+            self->linger();
+        } else {
+            self->watchTime();
         }
     });
 }
@@ -308,12 +330,11 @@
     if (!m_keepAlive) {
         m_closing = true;
         if (!m_writing) {
-            close();
+            linger();
         }
         return;
     }
-    m_waitUntil = loopNow() + m_events->limits().idleTimeout;
-    watchTime();
+    waitFrom(loopNow());
     const auto self = shared_from_this();
     if (!m_buffered.empty()) {
         asio::post(m_socket.get_executor(), [self] {
@@ -323,6 +344,21 @@
     }
 }
 
+/// Closing a socket that has unread bytes resets the connection, which destroys what the caller hasn't received yet.
+void caller_link::linger()
+{
+    m_buffered.clear();
+    asio::error_code problem;
+    m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, problem);
+    if (problem) {
+        close();
+        return;
+    }
+    m_waitUntil = loopNow() + lingerTime;
+    watchTime();
+    read();
+}
+
 void caller_link::onLost()
 {
     if (m_closed) {
@@ -336,15 +372,46 @@
     }
 }
 
+milliseconds caller_link::timeoutInForce() const
+{
+    const caller_limits &limits = m_events->limits();
+    // A body may take as long as it makes progress.
+    return m_reader.hasStarted() && !m_reader.hasHead() ? limits.headTimeout : limits.idleTimeout;
+}
+
+void caller_link::waitFrom(instant began)
+{
+    m_waitBegan = began;
+    m_waitUntil = began + timeoutInForce();
+    watchTime();
+}
+
+/// The caller may rely on the timeout in force when the wait began and on a longer one that has come into force since.
+instant caller_link::waitEnd() const
+{
+    if (m_closing) {
+        return m_waitUntil;
+    }
+    const instant end = std::max(m_waitUntil, m_waitBegan + timeoutInForce());
+    return m_reader.hasStarted() || m_writing ? end : std::min(end, m_drainUntil);
+}
+
 void caller_link::watchTime()
 {
-    if (m_timer.expiry().time_since_epoch() == m_waitUntil.time_since_epoch() || m_closed) {
+    const instant end = waitEnd();
+    if (m_closed || end == farFuture) {
         return;
     }
+    const std::chrono::steady_clock::time_point due(end.time_since_epoch());
+    if (m_watching && m_timer.expiry() <= due) {
+        return;
+    }
+    m_watching = true;
     const auto self = shared_from_this();
-    m_timer.expires_at(std::chrono::steady_clock::time_point(m_waitUntil.time_since_epoch()));
+    m_timer.expires_at(due);
     m_timer.async_wait([self](const asio::error_code &problem) {
         if (!problem) {
+            self->m_watching = false;
             self->onTime();
         }
     });
@@ -355,18 +422,47 @@
     if (m_closed || m_answering) {
         return;
     }
-    if (loopNow() < m_waitUntil) {
+    // After the process stood still, timers may run before the reads of what arrived in time.
+    for (int reads = 0; isWaitOver() && reads < maxReadsOnTime && readArrived(); ++reads) {}
+    if (m_closed || m_answering) {
+        return;
+    }
+    if (!isWaitOver()) {
         watchTime();
         return;
     }
+    if (m_reader.hasStarted() && !m_closing) {
+        reject(reading_problem::TimedOut);
+        return;
+    }
     close();
 }
 
+bool caller_link::isWaitOver() const
+{
+    return !m_closed && !m_answering && loopNow() >= waitEnd();
+}
+
+bool caller_link::readArrived()
+{
+    asio::error_code problem;
+    if (m_closing || m_socket.available(problem) == 0 || problem) {
+        return false;
+    }
+    std::array<char, readBytes> arrived; // not m_incoming, which the pending read fills
+    const std::size_t size = m_socket.read_some(asio::buffer(arrived), problem);
+    if (problem) {
+        return false;
+    }
+    onBytes(std::string_view(arrived.data(), size));
+    return true;
+}
+
 void caller_link::drain(instant idleUntil)
 {
     m_draining = true;
-    if (!m_answering && !m_closed) {
-        m_waitUntil = std::min(m_waitUntil, idleUntil);
+    m_drainUntil = idleUntil;
+    if (!m_answering) {
         watchTime();
     }
 }
@@ -427,17 +523,22 @@
             return;
         }
         if (!problem) {
-            const auto link = std::make_shared<caller_link>(std::move(socket), m_events);
-            m_links.push_back(link);
-            link->start();
-            if (m_draining) {
-                link->drain(m_idleUntil);
-            }
+            startLink(std::move(socket));
         }
         accept();
     });
 }
 
+void caller_listener::startLink(asio::ip::tcp::socket socket)
+{
+    const auto link = std::make_shared<caller_link>(std::move(socket), m_events);
+    m_links.push_back(link);
+    link->start();
+    if (m_draining) {
+        link->drain(m_idleUntil);
+    }
+}
+
 void caller_listener::sweep()
 {
     std::erase_if(m_links, [](const std::weak_ptr<caller_link> &link) {
@@ -450,8 +551,16 @@
 
 void caller_listener::stopAccepting()
 {
-    asio::error_code ignored; // the port is gone either way
-    m_acceptor.close(ignored);
+    asio::error_code problem;
+    m_acceptor.non_blocking(true, problem);
+    while (!problem || problem == asio::error::connection_aborted) {
+        // Closing the listening socket resets the connections that the system has completed for it.
+        asio::ip::tcp::socket socket = m_acceptor.accept(problem);
+        if (!problem) {
+            startLink(std::move(socket));
+        }
+    }
+    m_acceptor.close(problem); // the port is gone either way
     m_retry.cancel();
 }
 
