Own interface: a death settles only the break that was counted for it

A request whose verdicts are late may break at one target less than quarantine it. A break at a target that was proved alive isn't counted among the unjudged ones, yet when that target died later, one was taken off the count: a break elsewhere, still without a verdict, was forgotten and the request got one send more than is allowed.

Each remembered break now says whether it was counted, and only such a one is taken off.

--- a/packages/core/include/fuchsialoom/core/quarantine.h
+++ b/packages/core/include/fuchsialoom/core/quarantine.h
@@ -20,6 +20,7 @@
     target_id target;
     incarnation_number incarnation;
     instant forgetAt;
+    bool unjudged = false; ///< counts among the unjudged attempts of its request
 };
 
 /// When a fingerprint is quarantined, and what is remembered.
@@ -88,6 +89,9 @@
     /// Remembers an attempt, in case its target turns out to be dead.
     void remember(instant now, broken_attempt attempt);
 
+    /// The request goes on elsewhere without a verdict on this target process.
+    void markUnjudged(const request_id &request, const target_id &target, incarnation_number incarnation);
+
     /// The request's attempt is taken up again: what is remembered of it is over.
     void forget(const request_id &request);
 
--- a/packages/core/lib/quarantine.cpp
+++ b/packages/core/lib/quarantine.cpp
@@ -135,6 +135,15 @@
     m_broken.push_back(std::move(attempt));
 }
 
+void quarantine::markUnjudged(const request_id &request, const target_id &target, incarnation_number incarnation)
+{
+    for (broken_attempt &one : m_broken) {
+        if (one.request == request && one.target == target && one.incarnation == incarnation) {
+            one.unjudged = true;
+        }
+    }
+}
+
 void quarantine::forget(const request_id &request)
 {
     std::erase_if(m_broken, [&](const broken_attempt &one) {
--- a/packages/core/lib/request_accusations.cpp
+++ b/packages/core/lib/request_accusations.cpp
@@ -38,7 +38,7 @@
     const bool isLatest = open.verdictBy && open.target == broken.target && open.incarnation == broken.incarnation;
     if (isLatest) {
         open.verdictBy.reset();
-    } else if (open.unjudged > 0) {
+    } else if (broken.unjudged) {
         --open.unjudged; // the latest attempt, at another target, still waits for its own verdict
     }
     open.spreadBy = m_now + m_policy.spreadWait;
--- a/packages/core/lib/request_attempts.cpp
+++ b/packages/core/lib/request_attempts.cpp
@@ -301,6 +301,7 @@
     }
     if (mayStillRun && !open.provedAlive && !open.accused) {
         ++open.unjudged;
+        m_quarantine.markUnjudged(open.request.id, open.target, open.incarnation);
     }
     open.verdictBy.reset();
     open.spreadBy.reset();
--- a/packages/core/unittests/request_machine_test.cpp
+++ b/packages/core/unittests/request_machine_test.cpp
@@ -336,6 +336,25 @@
     EXPECT_EQ(onlyFailure(post(accusation_spread{request_id("r")})).kind, error_kind::Quarantined);
 }
 
+TEST_F(machine_case, theDeathOfATargetThatWasProvedAliveSettlesNoBreakElsewhere)
+{
+    for (const char *id : {"e1", "e2", "e3", "e4"}) {
+        list(id);
+        report(id);
+    }
+    const auto first = only<start_attempt>(arrive(repeatableOf("r", 7))).front();
+    const attempt_ended foundAlive{request_id("r"), attempt_number(1), attempt_end::Lost, 0, 0, {}, std::nullopt, incarnation_number(1)};
+    ASSERT_TRUE(only<start_attempt>(post(foundAlive)).front().resume);
+    ASSERT_FALSE(only<start_attempt>(post(foundAlive)).front().resume) << "no progress";
+    end("r", 2, attempt_end::Lost);
+    ASSERT_EQ(only<start_attempt>(after(request_policy().verdictWait)).size(), 1U);
+    post(target_lost{first.target});
+    post(accusation_spread{request_id("r")});
+    const auto actions = end("r", 3, attempt_end::NotSent);
+    EXPECT_TRUE(only<start_attempt>(actions).empty()) << "one death and one break without a verdict";
+    EXPECT_EQ(onlyFailure(actions).kind, error_kind::TargetLost);
+}
+
 TEST_F(machine_case, anOrderlyLeaveAccusesNobodyAndCutsNothingOff)
 {
     list("e1");
