Own interface: a silent stream is given up only for another target

A stream without bytes for the progress timeout was taken up on a new connection once. At the second silence without progress its run was cancelled whatever came next: with no other target, with the others full, with the retry budget spent, or for a request that may not be repeated, the caller got a failure although its deadline was far and the engine may have been merely silent.

Such a stream now moves only where the request may start again and another target has room for it at that moment. Else it is followed on a new connection each progress timeout, until its deadline.

A connection that skips a token was reported as silent. It ends at once, so following it on would have repeated without a pause; it has an end of its own now, frame-missing, treated as before.

--- a/packages/core/include/fuchsialoom/core/request_machine.h
+++ b/packages/core/include/fuchsialoom/core/request_machine.h
@@ -85,7 +85,10 @@
     void cancel(const open_request &open);
     bool isSameProcess(const open_request &open) const;
     bool mayHaveKilledTooMany(const open_request &open) const;
+    bool canFollow(const open_request &open) const;
     bool canResume(const open_request &open) const;
+    bool isFollowedOn(const open_request &open, attempt_end end);
+    bool couldMove(const open_request &open);
     bool resumeBroken(open_request &open);
     void resume(open_request &open);
     void giveUpTarget(open_request &open);
--- a/packages/core/include/fuchsialoom/core/retry_budget.h
+++ b/packages/core/include/fuchsialoom/core/retry_budget.h
@@ -16,7 +16,10 @@
 public:
     void payIn(std::uint32_t percent);
 
-    /// Takes one retry out. \return false when there is none. A share of 0 allows no retry at all.
+    /// Whether there is a retry to take out. A share of 0 allows no retry at all.
+    bool has(instant now, std::uint32_t percent);
+
+    /// Takes one retry out. \return false when there is none.
     bool take(instant now, std::uint32_t percent);
 
 private:
--- a/packages/core/lib/request_attempts.cpp
+++ b/packages/core/lib/request_attempts.cpp
@@ -154,7 +154,7 @@
              .with(event_field::TokenOffset, event.deliveredTokens));
     open.deliveredTokens = event.deliveredTokens;
     open.provedAlive = open.isAt(event.foundAlive);
-    if (event.end == attempt_end::Silent && canResume(open)) {
+    if (isFollowedOn(open, event.end)) {
         resume(open);
         return;
     }
@@ -198,6 +198,7 @@
         holdForVerdict(open);
         return;
     case attempt_end::Silent:
+    case attempt_end::FrameMissing:
     case attempt_end::StreamForgotten:
     case attempt_end::DeadlinePassed:
         open.mayHaveReached = true;
@@ -218,13 +219,45 @@
     return entry != nullptr && (open.incarnation.isNone() || entry->incarnation() == open.incarnation);
 }
 
-/// A connection went silent or broke: worth a new one to the same process, once without progress in
-/// between. A plain call has no stream that a new connection could take up.
+/// Whether a new connection to the same process could take up the stream. A plain call has none.
+bool request_machine::canFollow(const open_request &open) const
+{
+    return open.request.kind == target_kind::Engine && isSameProcess(open) && !open.callerGone && open.request.deadline > m_now;
+}
+
+/// A connection that went silent or broke is worth a new one once without progress in between.
 bool request_machine::canResume(const open_request &open) const
 {
     const bool progressed = !open.resumed || open.deliveredTokens > open.resumedAt;
-    return open.request.kind == target_kind::Engine && isSameProcess(open) && progressed && !open.callerGone
-        && open.request.deadline > m_now;
+    return progressed && canFollow(open);
+}
+
+/// Whether the stream of an attempt that ended so is taken up again. A sound target may be silent for longer
+/// than a connection is waited for, so a silent one is kept until another could run the request instead.
+bool request_machine::isFollowedOn(const open_request &open, attempt_end end)
+{
+    if (end != attempt_end::Silent && end != attempt_end::FrameMissing) {
+        return false;
+    }
+    if (canResume(open)) {
+        return true;
+    }
+    const bool isQuarantined = m_quarantine.until(m_now, open.request.fingerprint).has_value();
+    return end == attempt_end::Silent && canFollow(open) && !isQuarantined && !couldMove(open);
+}
+
+/// Whether the request may start again, and a target other than its latest has room for it now.
+bool request_machine::couldMove(const open_request &open)
+{
+    const incoming_request &request = open.request;
+    if (!request.repeatable || mayHaveKilledTooMany(open)
+        || !m_budgets[service_key(request.brand, request.service)].has(m_now, request.retryBudgetPercent)) {
+        return false;
+    }
+    std::vector<tried_target> tried = open.tried;
+    tried.push_back(tried_target{open.target, open.incarnation});
+    const bool apart = m_quarantine.isAccused(request.fingerprint);
+    return findRoute(m_targets, m_cache, route_query{request, tried, apart, open.stream}).target != nullptr;
 }
 
 /// Takes up a stream whose connection broke, where its target is proved to live. Each time costs a retry, or
--- a/packages/core/lib/request_claims.cpp
+++ b/packages/core/lib/request_claims.cpp
@@ -139,6 +139,9 @@
     case attempt_end::Silent:
         failWith(open, error_kind::TargetSilent, "went silent at" + at, retryAfter);
         return;
+    case attempt_end::FrameMissing:
+        failWith(open, error_kind::StreamBroken, "lost a token at" + at, retryAfter);
+        return;
     case attempt_end::StreamForgotten:
         failWith(open, error_kind::StreamBroken, "was forgotten by" + at, retryAfter);
         return;
--- a/packages/core/lib/retry_budget.cpp
+++ b/packages/core/lib/retry_budget.cpp
@@ -25,10 +25,15 @@
     }
 }
 
-bool retry_budget::take(instant now, std::uint32_t percent)
+bool retry_budget::has(instant now, std::uint32_t percent)
 {
     refillFloor(now);
-    if (percent == 0 || m_tokens < oneRetry) {
+    return percent > 0 && m_tokens >= oneRetry;
+}
+
+bool retry_budget::take(instant now, std::uint32_t percent)
+{
+    if (!has(now, percent)) {
         return false;
     }
     m_tokens -= oneRetry;
--- a/packages/core/unittests/fake_fleet.cpp
+++ b/packages/core/unittests/fake_fleet.cpp
@@ -238,7 +238,8 @@
         return end(one, attempt_end::DeadlinePassed);
     }
     if (one.stage == worker_stage::Streaming) {
-        end(one, b % 2 == 0 ? attempt_end::Silent : attempt_end::Lost, b % 8);
+        static constexpr std::array ends{attempt_end::Silent, attempt_end::Lost, attempt_end::FrameMissing};
+        end(one, ends.at(b % ends.size()), b % 8);
     }
 }
 
--- a/packages/core/unittests/request_machine_test.cpp
+++ b/packages/core/unittests/request_machine_test.cpp
@@ -202,6 +202,54 @@
     EXPECT_EQ(moved.attempt, attempt_number(2));
 }
 
+TEST_F(machine_case, aSilentStreamIsNotGivenUpBeforeAnotherTargetCanTakeIt)
+{
+    list("e1");
+    report("e1");
+    const auto first = only<start_attempt>(arrive(repeatableOf("r"))).front();
+    const auto expectFollowed = [&] {
+        const auto actions = end("r", 1, attempt_end::Silent);
+        EXPECT_TRUE(only<cancel_attempt>(actions).empty());
+        ASSERT_EQ(only<start_attempt>(actions).size(), 1U);
+        EXPECT_TRUE(only<start_attempt>(actions).front().resume);
+        EXPECT_EQ(only<start_attempt>(actions).front().target, first.target);
+    };
+    expectFollowed();
+    expectFollowed();
+    list("e2");
+    report("e2", 1, 0);
+    expectFollowed();
+    now += milliseconds(1);
+    report("e2");
+    const auto actions = end("r", 1, attempt_end::Silent);
+    EXPECT_EQ(only<cancel_attempt>(actions).size(), 1U);
+    ASSERT_EQ(only<start_attempt>(actions).size(), 1U);
+    EXPECT_EQ(only<start_attempt>(actions).front().target, target_id("e2"));
+}
+
+TEST_F(machine_case, aSilentStreamThatMayNotStartElsewhereIsFollowedToItsDeadline)
+{
+    list("e1");
+    list("e2");
+    report("e1");
+    report("e2");
+    incoming_request unsafe = requestOf("unsafe");
+    incoming_request unpaid = repeatableOf("unpaid");
+    unpaid.retryBudgetPercent = 0;
+    for (incoming_request &request : {std::ref(unsafe), std::ref(unpaid)}) {
+        request.deadline = now + seconds(60);
+        arrive(request);
+        for (int times = 0; times < 3; ++times) {
+            const auto actions = end(request.id.text().c_str(), 1, attempt_end::Silent);
+            EXPECT_TRUE(only<cancel_attempt>(actions).empty());
+            ASSERT_EQ(only<start_attempt>(actions).size(), 1U);
+            EXPECT_TRUE(only<start_attempt>(actions).front().resume);
+        }
+        const failure late = onlyFailure(end(request.id.text().c_str(), 1, attempt_end::DeadlinePassed));
+        EXPECT_EQ(late.kind, error_kind::DeadlineExpired);
+    }
+}
+
 TEST_F(machine_case, endsASilentNonRepeatableRequestAsUnknown)
 {
     list("p", target_kind::Plain);
--- a/packages/node/lib/request_session.cpp
+++ b/packages/node/lib/request_session.cpp
@@ -316,14 +316,14 @@
                                .with(event_field::Count, dropped));
 }
 
-/// A connection that lost a token is treated as one that fell silent: a new one may have it.
+/// A new connection may have the token that this one skipped.
 attempt_end request_session::brokenEnd() const
 {
     m_services.events.emit(timeline_event(event_kind::StreamBroken, m_input.request.id.text())
                                .with(event_field::Target, m_running->target)
                                .with(event_field::Attempt, m_running->attempt)
                                .with(event_field::TokenOffset, m_relay.nextOffset()));
-    return attempt_end::Silent;
+    return attempt_end::FrameMissing;
 }
 
 request_session::follow_end request_session::followAttempt(const caller_sink &sink, attempt_end &end)
