Own interface: the silence of a target alone accuses nobody

A target that answered none of its watchers for suspect-after-ms (2 s) was taken for dead by the request path: each request that ran there was accused of having killed it, to all VMs, and a second such silence quarantined requests of that kind for minutes. It was also dropped from the table, so that a stream that paused with it could not be taken up again and a request that may not be repeated failed. But a sound engine may be silent for some seconds and go on.

The watch plan now tells silence and a target that isn't listed any more apart. A silent target gets nothing new, as before, but keeps its entry and what runs there. Requests are accused on evidence: their connection broke as well, before or during the silence; nothing listens there any more; it returned as a new process; or it left the list. A stream that pauses at a silent target moves at once where another has room.

--- a/packages/core/include/fuchsialoom/core/request_machine.h
+++ b/packages/core/include/fuchsialoom/core/request_machine.h
@@ -57,6 +57,7 @@
     void handle(const claim_decided &event);
     void handle(const target_listed &event);
     void handle(const target_lost &event);
+    void handle(const target_silent &event);
     void handle(const target_found_dead &event);
     void handle(const load_reported &event);
     void handle(const cache_reported &event);
@@ -116,6 +117,7 @@
 
     // Dead targets and accused requests: request_accusations.cpp.
     void targetDied(const target_id &target, incarnation_number incarnation, bool leaving);
+    void accuseBroken(const target_id &target, incarnation_number incarnation, bool leaving);
     void holdForSpread(const broken_attempt &broken);
     void targetAlive(const load_report &report);
     void accuse(const request_id &id, const accusation &what);
--- a/packages/core/include/fuchsialoom/core/requests.h
+++ b/packages/core/include/fuchsialoom/core/requests.h
@@ -121,12 +121,19 @@
     listed_target target;
 };
 
-/// The target left the platform's list, or stopped answering its watchers.
+/// The target left the platform's list.
 struct target_lost
 {
     target_id target;
 };
 
+/// The target stopped answering its watchers, and may answer again under the same incarnation; target_listed
+/// follows then.
+struct target_silent
+{
+    target_id target;
+};
+
 /// A worker whose connection broke found that nothing listens at the target any more: that process is
 /// dead. The target stays listed, for it may come back under a new incarnation.
 struct target_found_dead
@@ -208,6 +215,7 @@
                                    claim_decided,
                                    target_listed,
                                    target_lost,
+                                   target_silent,
                                    target_found_dead,
                                    load_reported,
                                    cache_reported,
--- a/packages/core/include/fuchsialoom/core/target_table.h
+++ b/packages/core/include/fuchsialoom/core/target_table.h
@@ -36,6 +36,12 @@
     /// Its lease is asked for, or was not granted: until then no other accused request asks for it.
     std::optional<instant> leasedUntil;
     bool inOwnDomain = false;
+    bool silent = false; ///< answers none of its watchers: what runs there goes on, nothing new is sent
+
+    bool takesNew() const
+    {
+        return listed.state == listed_state::Live && !silent;
+    }
 
     incarnation_number incarnation() const
     {
@@ -49,7 +55,7 @@
     /// only the upper limit for that.
     bool hasRoom() const
     {
-        return listed.state == listed_state::Live && load < capacity();
+        return takesNew() && load < capacity();
     }
 };
 
@@ -81,6 +87,9 @@
     /// The attempt that \p request had in progress at \p target is over. Does nothing when there is none.
     void end(const target_id &target, const request_id &request);
 
+    /// \p target answers none of its watchers, until it is listed again.
+    void setSilent(const target_id &target);
+
     /// \p target took no connection at \p now.
     void avoid(instant now, const target_id &target);
 
--- a/packages/core/include/fuchsialoom/core/watch_plan.h
+++ b/packages/core/include/fuchsialoom/core/watch_plan.h
@@ -68,7 +68,8 @@
 {
     std::vector<listed_target> probes; ///< targets to ask now, the surest to answer first
     std::vector<listed_target> listed; ///< new, changed or found again
-    std::vector<target_id> lost;
+    std::vector<target_id> lost; ///< not listed any more
+    std::vector<target_id> silent;
     std::vector<load_report> reports; ///< newer than what was known
     std::vector<timeline_event> events;
 };
@@ -81,7 +82,7 @@
     std::optional<load_report> report;
     std::optional<instant> answeredAt; ///< by any VM
     std::optional<instant> answeredHereAt; ///< by this VM
-    bool lost = false;
+    bool lost = false; ///< silent
 };
 
 class watch_plan
--- a/packages/core/lib/request_accusations.cpp
+++ b/packages/core/lib/request_accusations.cpp
@@ -20,6 +20,12 @@
             accuse(id, accusation{target, incarnation, {open.request.fingerprint}, leaving});
         }
     }
+    accuseBroken(target, incarnation, leaving);
+}
+
+/// Accuses the requests whose connections to the process broke before it was known to be dead.
+void request_machine::accuseBroken(const target_id &target, incarnation_number incarnation, bool leaving)
+{
     for (const broken_attempt &broken : m_quarantine.takeBroken(target, incarnation)) {
         holdForSpread(broken);
         accuse(broken.request, accusation{target, incarnation, {broken.fingerprint}, leaving});
--- a/packages/core/lib/request_attempts.cpp
+++ b/packages/core/lib/request_attempts.cpp
@@ -239,7 +239,9 @@
     if (end != attempt_end::Silent && end != attempt_end::FrameMissing) {
         return false;
     }
-    if (canResume(open)) {
+    const target_entry *entry = m_targets.find(open.target);
+    const bool watchersHearIt = entry != nullptr && !entry->silent;
+    if (canResume(open) && (watchersHearIt || end == attempt_end::FrameMissing)) {
         return true;
     }
     const bool isQuarantined = m_quarantine.until(m_now, open.request.fingerprint).has_value();
@@ -311,6 +313,10 @@
         open.brokeAt = m_now;
         open.verdictBy = open.provedAlive ? m_now : m_now + m_policy.verdictWait;
         m_quarantine.remember(m_now, broken_attempt{open.request.id, open.request.fingerprint, open.target, open.incarnation, {}});
+        const target_entry &entry = *m_targets.find(open.target);
+        if (entry.silent && !open.provedAlive && entry.listed.state != listed_state::Leaving) {
+            accuseBroken(open.target, entry.incarnation(), false);
+        }
     }
     afterAttempt(open);
 }
--- a/packages/core/lib/request_machine.cpp
+++ b/packages/core/lib/request_machine.cpp
@@ -151,6 +151,22 @@
     }
 }
 
+void request_machine::handle(const target_silent &event)
+{
+    const target_entry *entry = m_targets.find(event.target);
+    if (entry == nullptr) {
+        return;
+    }
+    m_targets.setSilent(event.target);
+    emit(timeline_event(event_kind::TargetGone, event.target.text())
+             .with(event_field::Incarnation, entry->incarnation())
+             .with(event_field::Cause, "silent"));
+    // Silence alone is no death. Together with a broken connection it is.
+    if (entry->listed.state != listed_state::Leaving) {
+        accuseBroken(event.target, entry->incarnation(), false);
+    }
+}
+
 void request_machine::handle(const target_found_dead &event)
 {
     const target_entry *entry = m_targets.find(event.target);
--- a/packages/core/lib/router.cpp
+++ b/packages/core/lib/router.cpp
@@ -70,7 +70,7 @@
     void consider(const target_entry &entry)
     {
         const bool isElsewhere = m_query.leased != nullptr && *m_query.leased != entry.listed.id;
-        if (entry.listed.state != listed_state::Live || isElsewhere || wasTried(entry, m_query.tried)) {
+        if (!entry.takesNew() || isElsewhere || wasTried(entry, m_query.tried)) {
             return;
         }
         m_best.anyServes = true;
@@ -175,7 +175,7 @@
 bool isServed(const target_table &targets, const incoming_request &request)
 {
     const auto isLive = [](const target_entry &entry) {
-        return entry.listed.state == listed_state::Live;
+        return entry.takesNew();
     };
     return visitCandidates(targets, request, isLive) || visitUnknown(targets, request, isLive);
 }
--- a/packages/core/lib/target_table.cpp
+++ b/packages/core/lib/target_table.cpp
@@ -60,6 +60,7 @@
         return listing_effect::Joined;
     }
     target_entry &entry = found->second;
+    entry.silent = false;
     const bool leaves = target.state == listed_state::Leaving && entry.listed.state == listed_state::Live;
     if (entry.listed != target) {
         unindex(entry);
@@ -116,6 +117,14 @@
     }
 }
 
+void target_table::setSilent(const target_id &target)
+{
+    const auto found = m_targets.find(target);
+    if (found != m_targets.end()) {
+        found->second.silent = true;
+    }
+}
+
 void target_table::forgive(instant now)
 {
     for (auto &[id, entry] : m_targets) {
--- a/packages/core/lib/watch_plan.cpp
+++ b/packages/core/lib/watch_plan.cpp
@@ -204,7 +204,7 @@
     }
     if (silent && record.triedInVain && !m_stale) {
         known.lost = true;
-        actions.lost.push_back(known.target.id);
+        actions.silent.push_back(known.target.id);
         actions.events.push_back(timeline_event(event_kind::TargetGone, known.target.id.text()).with(event_field::Cause, "silent"));
     }
 }
--- a/packages/core/unittests/fake_fleet.cpp
+++ b/packages/core/unittests/fake_fleet.cpp
@@ -356,6 +356,12 @@
             post(target_lost{target.listed.id});
         }
         return;
+    case 4:
+        if (target.known) {
+            target.silent = true;
+            post(target_silent{target.listed.id});
+        }
+        return;
     default:
         if (!target.alive) {
             target.alive = true;
@@ -369,6 +375,7 @@
     fake_target &target = m_targets[a % m_targets.size()];
     target.listed.state = b % 5 == 1 ? listed_state::Leaving : listed_state::Live;
     target.known = true;
+    target.silent = false;
     post(target_listed{target.listed});
 }
 
--- a/packages/core/unittests/fake_fleet.h
+++ b/packages/core/unittests/fake_fleet.h
@@ -104,6 +104,7 @@
         std::set<request_id> streams; ///< that run there now
         // What the machine was told:
         bool known = false; ///< listed and not lost since
+        bool silent = false; ///< and not listed since
         std::size_t listing = 0; ///< grows with each loss and restart
         std::optional<load_report> report; ///< the newest
     };
--- a/packages/core/unittests/fleet_oracle.cpp
+++ b/packages/core/unittests/fleet_oracle.cpp
@@ -72,7 +72,7 @@
         return;
     }
     ++m_starts;
-    require(target.known && target.listed.state == listed_state::Live, "new work to a leaving or lost target");
+    require(target.known && !target.silent && target.listed.state == listed_state::Live, "new work to a leaving, lost or silent target");
     require(one.request.repeatable || !one.mayHaveRun, "a non-repeatable request that may have run was started again");
     const auto quarantined = m_quarantined.find(one.request.fingerprint);
     require(quarantined == m_quarantined.end() || quarantined->second <= m_now, "a quarantined request was started");
--- a/packages/core/unittests/request_machine_test.cpp
+++ b/packages/core/unittests/request_machine_test.cpp
@@ -403,6 +403,66 @@
     EXPECT_EQ(onlyFailure(actions).kind, error_kind::TargetLost);
 }
 
+TEST_F(machine_case, theSilenceOfATargetAccusesNothingThatRunsThere)
+{
+    list("e1");
+    list("e2");
+    report("e1");
+    report("e2");
+    const auto first = only<start_attempt>(arrive(repeatableOf("r", 7))).front();
+    EXPECT_TRUE(only<spread_accusation>(post(target_silent{first.target})).empty());
+    const auto other = only<start_attempt>(arrive(repeatableOf("other", 8))).front();
+    EXPECT_NE(other.target, first.target);
+    EXPECT_EQ(only<request_done>(end("r", 1, attempt_end::Completed)).size(), 1U);
+    list(first.target.text().c_str());
+    post(target_silent{other.target});
+    EXPECT_EQ(only<start_attempt>(arrive(repeatableOf("next", 9))).front().target, first.target) << "it answers again";
+}
+
+TEST_F(machine_case, aSilentTargetWhoseConnectionBreaksCountsAsDead)
+{
+    for (const char *id : {"e1", "e2", "e3"}) {
+        list(id);
+        report(id);
+    }
+    const auto before = only<start_attempt>(arrive(repeatableOf("before", 7))).front();
+    end("before", 1, attempt_end::Lost);
+    EXPECT_EQ(only<spread_accusation>(post(target_silent{before.target})).size(), 1U);
+    const auto after = only<start_attempt>(arrive(repeatableOf("after", 8))).front();
+    EXPECT_TRUE(only<spread_accusation>(post(target_silent{after.target})).empty());
+    EXPECT_EQ(only<spread_accusation>(end("after", 1, attempt_end::Lost)).size(), 1U);
+}
+
+TEST_F(machine_case, aTargetThatReturnsFromItsSilenceAnewAccusesWhatRanThere)
+{
+    list("e1");
+    report("e1");
+    arrive(repeatableOf("r", 7));
+    post(target_silent{target_id("e1")});
+    now += milliseconds(1);
+    list("e1");
+    load_report anew;
+    anew.target = target_id("e1");
+    anew.incarnation = incarnation_number(2);
+    anew.takenAt = now;
+    EXPECT_EQ(only<spread_accusation>(post(load_reported{anew})).size(), 1U);
+}
+
+TEST_F(machine_case, aStreamLeavesASilentTargetAtOnceWhereAnotherHasRoom)
+{
+    list("e1");
+    list("e2");
+    report("e1");
+    report("e2");
+    const auto first = only<start_attempt>(arrive(repeatableOf("r"))).front();
+    post(target_silent{first.target});
+    const auto moved = only<start_attempt>(end("r", 1, attempt_end::Silent, 5));
+    ASSERT_EQ(moved.size(), 1U);
+    EXPECT_NE(moved.front().target, first.target);
+    post(target_silent{moved.front().target});
+    EXPECT_TRUE(only<start_attempt>(end("r", 2, attempt_end::Silent, 6)).front().resume);
+}
+
 TEST_F(machine_case, anOrderlyLeaveAccusesNobodyAndCutsNothingOff)
 {
     list("e1");
--- a/packages/node/lib/watcher_service.cpp
+++ b/packages/node/lib/watcher_service.cpp
@@ -160,6 +160,9 @@
     for (const target_id &target : actions.lost) {
         m_decisions.post(target_lost{target});
     }
+    for (const target_id &target : actions.silent) {
+        m_decisions.post(target_silent{target});
+    }
     for (listed_target &target : actions.listed) {
         m_decisions.post(target_listed{std::move(target)});
     }
