--- a/cmake/package.cmake
+++ b/cmake/package.cmake
@@ -27,11 +27,11 @@
     if(tests AND NOT FUCHSIALOOM_DAEMON_ONLY)
         add_executable(${name}_tests ${tests})
         target_compile_options(${name}_tests PRIVATE ${FUCHSIALOOM_WARNINGS})
-        target_compile_definitions(${name}_tests PRIVATE FUCHSIALOOM_SOURCE_DIR="${CMAKE_SOURCE_DIR}")
         target_link_libraries(${name}_tests PRIVATE fuchsialoom::${name} rapidcheck rapidcheck_gtest GTest::gtest GTest::gtest_main)
         gtest_discover_tests(${name}_tests
             TEST_PREFIX "${name}."
             DISCOVERY_MODE PRE_TEST
             PROPERTIES TIMEOUT ${FUCHSIALOOM_UNIT_TEST_LIMIT} LABELS unit ENVIRONMENT "RC_PARAMS=${FUCHSIALOOM_RC_PARAMS}")
+        set_property(DIRECTORY APPEND PROPERTY TEST_INCLUDE_FILES ${CMAKE_SOURCE_DIR}/cmake/test_costs.cmake)
     endif()
 endfunction()
--- a/scripts/test-sanitized.sh
+++ b/scripts/test-sanitized.sh
@@ -1,16 +1,27 @@
 #!/usr/bin/env bash
-# All unit tests under the address and undefined-behaviour sanitizers, then the tests of rings and
-# kernel under the thread sanitizer.
+# All unit tests under the address and undefined-behaviour sanitizers, and the tests of rings and kernel
+# under the thread sanitizer. The first argument limits it: "build" only builds both, "address" and
+# "thread" run the one or the other.
 set -euo pipefail
 cd "$(dirname "$0")/.."
+part=${1:-all}
 unit_targets=(support_tests settings_tests core_tests wire_tests node_tests http_tests fleet_tests gateway_tests platform_tests)
 build_targets() {
     local folder=$1 sanitizers=$2
     shift 2
-    cmake -S . -B "$folder" -G Ninja -DCMAKE_BUILD_TYPE=Debug -DCMAKE_CXX_FLAGS="-O1" -DFUCHSIALOOM_SANITIZE="$sanitizers" >/dev/null
-    cmake --build "$folder" --target "$@" >/dev/null
+    # Lines and functions are all that a sanitizer's report shows of the debug information.
+    cmake -S . -B "$folder" -G Ninja -DCMAKE_BUILD_TYPE=Debug -DCMAKE_CXX_FLAGS="-O1" -DCMAKE_CXX_FLAGS_DEBUG="-g1" -DFUCHSIALOOM_SANITIZE="$sanitizers" >/dev/null
+    cmake --build "$folder" --target "$@"
 }
-build_targets build-address address,undefined "${unit_targets[@]}"
-ctest --test-dir build-address --output-on-failure -j 8 -L unit
-build_targets build-thread thread support_tests node_tests
-ctest --test-dir build-thread --output-on-failure -j 8 -L unit -R 'bounded_ring|kernel'
+if [ "$part" != thread ]; then
+    build_targets build-address address,undefined "${unit_targets[@]}"
+fi
+if [ "$part" != address ]; then
+    build_targets build-thread thread support_tests node_tests
+fi
+if [ "$part" = all ] || [ "$part" = address ]; then
+    ctest --test-dir build-address --output-on-failure -j 8 -L unit
+fi
+if [ "$part" = all ] || [ "$part" = thread ]; then
+    ctest --test-dir build-thread --output-on-failure -j 8 -L unit -R 'bounded_ring|kernel'
+fi
