Tests: targets of the soak of silences break off as well

With two runs open for one request, one of them may break off. A failure counts as explained by a break only if no run was left that could answer: each broke off, or was closed after one that broke off had begun to answer.

--- a/tests/platform_silence_soak_test.cpp
+++ b/tests/platform_silence_soak_test.cpp
@@ -343,6 +343,14 @@
 
     void disturbTarget()
     {
+        if (!m_targets.empty() && draw(4) == 0) {
+            const std::string id = m_targets[draw(m_targets.size())].id;
+            note(id + " breaks off");
+            m_world.call([&] {
+                m_world.target(id).breakRuns();
+            });
+            return;
+        }
         if (!m_targets.empty() && m_silentShare > 0 && draw(2) == 0) {
             const std::string id = m_targets[draw(m_targets.size())].id;
             const milliseconds length(1000 + draw(2000));
@@ -481,6 +489,29 @@
         });
     }
 
+    /// Whether none of its runs could answer: each broke off, or was closed after one that broke off had begun to answer.
+    bool isBroken(const soak_result &result) const
+    {
+        const auto found = m_runs.find(result.id);
+        if (found == m_runs.end()) {
+            return false;
+        }
+        steady_clock::time_point answeredAt = steady_clock::time_point::max();
+        for (const auto &[target, run] : found->second) {
+            if (run.brokenAt && run.firstByteAt) {
+                answeredAt = std::min(answeredAt, *run.firstByteAt);
+            }
+        }
+        return std::ranges::all_of(found->second, [&](const auto &one) {
+            return one.second.brokenAt || (one.second.abandonedAt && *one.second.abandonedAt >= answeredAt);
+        });
+    }
+
+    bool isFailureExplained(const soak_result &result) const
+    {
+        return isOverdue(result) || isEndOfStop(result) || isBroken(result);
+    }
+
     bool wasDropped(const soak_result &result) const
     {
         const auto found = m_drops.find(prefixOf(*result.route));
@@ -511,7 +542,7 @@
             EXPECT_EQ(answer.field("X-Request-Id"), result.id);
             EXPECT_FALSE(answer.field("X-Answer-Stamp").empty());
             if (!answer.complete) {
-                EXPECT_TRUE(isOverdue(result) || isEndOfStop(result)) << "cut";
+                EXPECT_TRUE(isFailureExplained(result)) << "cut";
                 EXPECT_TRUE(!result.route->isStream || wholeBody(result).starts_with(answer.body)) << answer.body;
             } else {
                 EXPECT_EQ(answer.body, wholeBody(result));
@@ -532,7 +563,7 @@
         case 502:
         case 504:
             EXPECT_TRUE(answer.complete);
-            EXPECT_TRUE(isOverdue(result) || isEndOfStop(result)) << "failed with neither a break nor a deadline";
+            EXPECT_TRUE(isFailureExplained(result)) << "failed with neither a break nor a deadline";
             return;
         default:
             ADD_FAILURE() << "unexpected status";
@@ -588,6 +619,7 @@
                 text << (run.silentFrom ? ", silent from " + std::to_string(sinceBegin(*run.silentFrom)) : "");
                 text << (run.silentUntil ? " until " + std::to_string(sinceBegin(*run.silentUntil)) : "");
                 text << (run.endedAt ? ", ended " + std::to_string(sinceBegin(*run.endedAt)) : "");
+                text << (run.brokenAt ? ", broken " + std::to_string(sinceBegin(*run.brokenAt)) : "");
                 text << (run.abandonedAt ? ", abandoned " + std::to_string(sinceBegin(*run.abandonedAt)) : "");
             }
         }
