A successor that answers without a stream doesn't end a started stream

Found on reading: a target that a stream was to be resumed at, and that answers with something else than a stream, ended the caller's stream at once, also while the silent attempt before it was still open and might go on. It counts as a broken attempt now, so the other goes on, or a retry follows where there is one.

--- a/packages/gateway/lib/exchange_attempts.cpp
+++ b/packages/gateway/lib/exchange_attempts.cpp
@@ -256,8 +256,9 @@
         handleAttemptEnd(one, attempt_outcome::NotRun);
     } else if (one.relaysEvents) {
         onStreamEnd(one);
-    } else if (promises || (good && !facts.signedByTarget)) {
-        // An answer like this from a target that doesn't state that the request wasn't run leaves that open.
+    } else if (promises || (good && !facts.signedByTarget) || m_streamStarted) {
+        // An answer like this from a target that doesn't state that the request wasn't run leaves that open. What is no
+        // stream can't continue one.
         handleAttemptEnd(one, attempt_outcome::Broken);
     } else if (status >= 500) {
         handleAttemptEnd(one, attempt_outcome::Failed);
--- a/packages/gateway/unittests/exchange_silence_test.cpp
+++ b/packages/gateway/unittests/exchange_silence_test.cpp
@@ -58,6 +58,10 @@
         links.at(request)->sendPart(events);
         links.at(request)->endStream();
     }
+    void answer(std::size_t request, int status)
+    {
+        links.at(request)->respond(status, ownHeaders(), {});
+    }
     void refuse(std::size_t request)
     {
         header_list headers = ownHeaders();
@@ -279,6 +283,21 @@
     EXPECT_TRUE(m_isWhole);
 }
 
+TEST_F(exchange_silence_test, aSuccessorThatAnswersWithoutAStreamDoesNotEndTheStream)
+{
+    configure(true);
+    list(0);
+    send();
+    list(1);
+    target(0).beginStream(0, firstEvent);
+    awaitRequests(1, 1);
+    target(1).answer(0, 404);
+    runFor(milliseconds(100));
+    target(0).endStream(0, secondEvent);
+    EXPECT_EQ(body(), std::string(firstEvent) + secondEvent);
+    EXPECT_TRUE(m_isWhole);
+}
+
 TEST_F(exchange_silence_test, theFirstWithAnEventGoesOnAloneAndNoPieceIsLost)
 {
     configure(true);
