--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -15,6 +15,7 @@
     grep -v '^#' KNOWN-RED.txt
     ctest --test-dir build --output-on-failure -R "$pattern" || true
 fi
-ctest --test-dir build --output-on-failure -j 4 -L unit -E "$pattern"
+# As many at once as under the sanitizers, where they take several times as long.
+ctest --test-dir build --output-on-failure -j 8 -L unit -E "$pattern"
 # Each starts many processes that mostly wait. free_port.h keeps the ports of test programs apart.
 ctest --test-dir build --output-on-failure -j 4 -L process -E "$pattern"
