Peers: an address that can't be parsed doesn't end the process

A VM ended at its start, with status 2 and a message about addresses that can't be bound, when one of the seeds in its settings was no IP address; a member's record with such an address would end it while it serves. Datagrams to such an address are dropped, as the network may drop any.

Red before, on: platform_change.aSeedThatIsNoAddressDoesNotEndTheProcess.

--- a/packages/gateway/lib/peer_transport.cpp
+++ b/packages/gateway/lib/peer_transport.cpp
@@ -150,8 +150,12 @@
         m_log.write(loopNow(), log_line("datagram-too-large").with("bytes", bytes.size()).with("to", toText(to)));
         return;
     }
-    asio::error_code ignored; // datagrams may be lost on the network too
-    m_socket.send_to(asio::buffer(bytes), udpEndpointOf(to), 0, ignored);
+    asio::error_code problem;
+    const asio::ip::address host = asio::ip::make_address(to.host, problem);
+    if (problem) {
+        return; // a seed from the settings or a member's record may be any text
+    }
+    m_socket.send_to(asio::buffer(bytes), {host, to.port}, 0, problem); // datagrams may be lost on the network too
     m_sent += 1;
 }
 
--- a/tests/platform_change_test.cpp
+++ b/tests/platform_change_test.cpp
@@ -132,4 +132,17 @@
     EXPECT_EQ(world.ask(vm, plainRequest("a")).status, 200);
 }
 
+TEST(platform_change, aSeedThatIsNoAddressDoesNotEndTheProcess)
+{
+    platform_world world;
+    world.configure(1);
+    world.cutNextSettings();
+    const std::string vm = world.startVm();
+    nlohmann::json settings = world.settingsOf(vm);
+    settings["seeds"] = {"nowhere:1", "", "::", "256.1.1.1:1"};
+    writeSettings(world, vm, settings.dump());
+    EXPECT_TRUE(world.waitReady(vm));
+    EXPECT_FALSE(world.vm(vm).ended()) << world.vm(vm).output();
+}
+
 } // namespace fuchsialoom
