Gateway: a route that only a newer configuration may have isn't denied

Callers got 404, after which they don't ask again, on a route that had just been added, from a VM that knew from its peers that it was behind. Such a request now gets 503 with the time after which the newer version is there, as one with a key that isn't known yet does.

Red before, on: aRouteThatANewerConfigurationMayHaveIsNotDenied.

--- a/packages/gateway/include/fuchsialoom/gateway/gateway.h
+++ b/packages/gateway/include/fuchsialoom/gateway/gateway.h
@@ -47,7 +47,7 @@
     TimedOut, ///< its deadline passed while it was queued
     TargetsRefused,
     Draining,
-    ConfigurationBehind, ///< the request's key isn't known here, and another VM has a newer configuration
+    ConfigurationBehind, ///< the request's key or route isn't known here, and another VM has a newer configuration
     Quarantined, ///< it crashed the targets that ran it
     Suspected, ///< it was at several deaths of targets, and may run again, alone, after a while
 };
@@ -159,7 +159,7 @@
     /// Prometheus text of what each team used, and of its credit as this VM believes it.
     std::string teamMetrics() const;
 
-    /// Records that some VM has configuration \p version, so that a key that isn't known here may be known there.
+    /// Records that some VM has configuration \p version, so that a key or route that isn't known here may be known there.
     void noteVersionElsewhere(std::uint64_t version)
     {
         m_newestVersion = std::max(m_newestVersion, version);
--- a/packages/gateway/lib/exchange.cpp
+++ b/packages/gateway/lib/exchange.cpp
@@ -65,6 +65,9 @@
     m_configVersion = m_gateway.configuration().version;
     const std::string *host = m_request.headers.find("Host");
     const route *found = host ? m_gateway.m_routes.find(*host, m_request.path()) : nullptr;
+    if (!found && refuseIfBehind()) {
+        return;
+    }
     if (!found) {
         deny(statusNoRoute, {}, log_line("no-route", m_facts.id).with("host", host ? *host : std::string()).with("path", m_request.path()));
         return;
--- a/packages/gateway/lib/exchange.h
+++ b/packages/gateway/lib/exchange.h
@@ -84,6 +84,8 @@
         instant lastByteAt{};
     };
 
+    /// Refuses what only a newer configuration, which another VM has, may allow. \return whether it did.
+    bool refuseIfBehind();
     /// Attributes the request to the team of its key. \return whether it may go on; else it has been answered.
     bool authorize();
     /// Spends the request's cost of its team's quota. \return whether there was credit; else it has been answered.
--- a/packages/gateway/lib/exchange_admission.cpp
+++ b/packages/gateway/lib/exchange_admission.cpp
@@ -8,12 +8,22 @@
 namespace fuchsialoom
 {
 
-/// A newer configuration arrives within this time, unless the store is out of reach.
-static constexpr milliseconds retryAfterConfiguration{300};
 static constexpr int statusUnauthorized = 401;
 static constexpr int statusOverQuota = 429;
 static constexpr double permille = 1000;
 
+/// A newer configuration arrives within this time, unless the store is out of reach.
+static constexpr milliseconds retryAfterConfiguration{300};
+
+bool exchange::refuseIfBehind()
+{
+    const bool isBehind = m_gateway.m_newestVersion > m_configVersion;
+    if (isBehind) {
+        refuse(refusal::ConfigurationBehind, retryAfterConfiguration);
+    }
+    return isBehind;
+}
+
 bool exchange::authorize()
 {
     if (!m_gateway.configuration().teams) {
@@ -30,8 +40,7 @@
     if (m_route.isPublic) {
         return true;
     }
-    if (verdict.problem == key_problem::Unknown && m_gateway.m_newestVersion > m_configVersion) {
-        refuse(refusal::ConfigurationBehind, retryAfterConfiguration);
+    if (verdict.problem == key_problem::Unknown && refuseIfBehind()) {
         return false;
     }
     header_list headers;
--- a/packages/gateway/unittests/gateway_test.cpp
+++ b/packages/gateway/unittests/gateway_test.cpp
@@ -325,4 +325,21 @@
     EXPECT_EQ(m_atTarget.size(), 1U);
 }
 
+TEST_F(gateway_test, aRouteThatANewerConfigurationMayHaveIsNotDenied)
+{
+    gateway_configuration routeless;
+    routeless.version = 1;
+    m_gateway.configure(std::move(routeless));
+    m_gateway.noteVersionElsewhere(2);
+    sendRequest();
+    EXPECT_TRUE(answer().starts_with(refusedAnswer));
+    configure(objective, longTimeout, 2);
+    list("t1");
+    sendRequest();
+    runUntil([this] {
+        return !m_atTarget.empty();
+    });
+    EXPECT_EQ(m_atTarget.size(), 1U);
+}
+
 } // namespace fuchsialoom
