Tests: requests beside changes of the configuration and the settings

Six callers on kept connections, a configuration every 40 ms that moves routes, takes a service away and changes limits and timeouts, and a SIGHUP with each: every request gets 200 or 503, whole.

--- a/tests/platform_change_test.cpp
+++ b/tests/platform_change_test.cpp
@@ -4,9 +4,13 @@
 
 #include <gtest/gtest.h>
 
+#include <array>
 #include <csignal>
 #include <filesystem>
 #include <fstream>
+#include <future>
+#include <optional>
+#include <thread>
 
 namespace fuchsialoom
 {
@@ -14,6 +18,8 @@
 namespace
 {
 
+using steady_instant = std::chrono::steady_clock::time_point;
+
 void writeSettings(const platform_world &world, const std::string &vm, const std::string &text)
 {
     std::ofstream(world.settingsPathOf(vm)) << text;
@@ -44,6 +50,53 @@
     return {.path = "/get/1", .id = id, .model = ""};
 }
 
+/// Sends one request after the other on connections that it keeps, until \p end. \return what wasn't answered whole.
+std::vector<std::string> callUntil(platform_world &world, const std::string &vm, const std::string &name, steady_instant end)
+{
+    static constexpr std::array<std::string_view, 3> paths{"/get/1", "/post/1", "/chat/1"};
+    std::vector<std::string> unanswered;
+    std::optional<asio::ip::tcp::socket> kept;
+    for (std::size_t number = 0; std::chrono::steady_clock::now() < end; ++number) {
+        platform_request request{.path = std::string(paths.at(number % paths.size())), .id = name + std::to_string(number)};
+        request.model = request.path.starts_with("/chat/") ? "m1" : "";
+        if (kept) {
+            asio::error_code problem;
+            asio::write(*kept, asio::buffer(platform_world::textOf(request)), problem);
+        } else {
+            kept = world.send(vm, request);
+        }
+        const platform_answer answer = platform_world::receive(*kept);
+        if (!answer.complete || (answer.status != 200 && answer.status != 503)) {
+            unanswered.push_back(request.id + ' ' + request.path + ' ' + std::to_string(answer.status));
+        }
+        if (!answer.complete || answer.field("Connection") == "close") {
+            kept.reset();
+        }
+    }
+    return unanswered;
+}
+
+/// Moves routes between services, takes a service away and changes limits, another way in each version.
+void changeByVersion(nlohmann::json &configuration)
+{
+    const int version = configuration["version"].get<int>();
+    const std::string service = version % 3 == 0 ? "spare" : "plain";
+    for (nlohmann::json &route : configuration["routes"]) {
+        if (route["service"] == "plain") {
+            route["service"] = service;
+            route["timeout_ms"] = 4000 + 1000 * (version % 4);
+        }
+    }
+    if (version % 3 == 0) {
+        configuration["services"].erase(1);
+    }
+    configuration["services"].push_back({{"name", "spare"}});
+    configuration["limits"]["max_header_bytes"] = version % 2 == 0 ? 1000 : 16384;
+    configuration["limits"]["max_body_bytes"] = version % 2 == 0 ? 10 : 100000;
+    configuration["limits"]["header_timeout_ms"] = version % 2 == 0 ? 500 : 3000;
+    configuration["limits"]["idle_timeout_ms"] = version % 2 == 0 ? 500 : 15000;
+}
+
 } // namespace
 
 TEST(platform_change, aVmStartedBesideItsSettingsBeingWrittenServes)
@@ -145,4 +198,43 @@
     EXPECT_FALSE(world.vm(vm).ended()) << world.vm(vm).output();
 }
 
+TEST(platform_change, everyRequestBesideChangesIsAnsweredWhole)
+{
+    platform_world world;
+    world.editConfigurations(changeByVersion);
+    int version = 1;
+    world.configure(version);
+    world.addTarget({.id = "e1", .service = "models", .models = {"m1"}});
+    world.addTarget({.id = "p1", .service = "plain", .isEngine = false});
+    world.addTarget({.id = "p2", .service = "spare", .isEngine = false});
+    const std::string vm = world.startVm();
+    ASSERT_TRUE(world.waitReady(vm));
+    const steady_instant end = std::chrono::steady_clock::now() + std::chrono::seconds(3);
+    std::vector<std::future<std::vector<std::string>>> callers;
+    for (const char *name : {"a", "b", "c", "d", "e", "f"}) {
+        callers.push_back(std::async(std::launch::async, [&, name] {
+            return callUntil(world, vm, name, end);
+        }));
+    }
+    nlohmann::json settings = world.settingsOf(vm);
+    while (std::chrono::steady_clock::now() < end) {
+        version += 1;
+        world.configure(version);
+        settings["bounds"]["grace_s"] = 8 + version % 3;
+        writeSettings(world, vm, settings.dump());
+        world.vm(vm).send(SIGHUP);
+        std::this_thread::sleep_for(milliseconds(40));
+    }
+    for (std::future<std::vector<std::string>> &caller : callers) {
+        EXPECT_EQ(caller.get(), std::vector<std::string>());
+    }
+    EXPECT_FALSE(world.vm(vm).ended()) << world.vm(vm).output();
+    for (const char *target : {"e1", "p1", "p2"}) {
+        const std::size_t runs = world.call([&] {
+            return world.target(target).runs().size();
+        });
+        EXPECT_GT(runs, 10U) << target;
+    }
+}
+
 } // namespace fuchsialoom
--- a/tests/platform_world.cpp
+++ b/tests/platform_world.cpp
@@ -87,6 +87,9 @@
     if (!m_teams.is_null()) {
         configuration["tenants"] = m_teams;
     }
+    if (m_edit) {
+        m_edit(configuration);
+    }
     call([&] {
         m_store->put("keyed.op", "config", configuration.dump());
     });
@@ -165,16 +168,26 @@
     });
 }
 
-asio::ip::tcp::socket platform_world::sendHead(const std::string &vm, const platform_request &request)
+static std::string headOf(const platform_request &request)
 {
-    asio::ip::tcp::socket socket(m_callers);
-    socket.connect(endpointOf(m_vms.at(vm).callers));
     std::string head = request.method + " " + request.path + ' ' + request.version + "\r\nHost: " + request.host
         + "\r\nX-Request-Id: " + request.id + "\r\nX-Deadline-Ms: " + std::to_string(request.deadlineMs) + "\r\n" + request.more;
     if (!request.model.empty()) {
         head += "X-Model: " + request.model + "\r\n";
     }
-    asio::write(socket, asio::buffer(head + "Content-Length: " + std::to_string(requestBody.size()) + "\r\n\r\n"));
+    return head + "Content-Length: " + std::to_string(requestBody.size()) + "\r\n\r\n";
+}
+
+std::string platform_world::textOf(const platform_request &request)
+{
+    return headOf(request).append(requestBody);
+}
+
+asio::ip::tcp::socket platform_world::sendHead(const std::string &vm, const platform_request &request)
+{
+    asio::ip::tcp::socket socket(m_callers);
+    socket.connect(endpointOf(m_vms.at(vm).callers));
+    asio::write(socket, asio::buffer(headOf(request)));
     return socket;
 }
 
--- a/tests/platform_world.h
+++ b/tests/platform_world.h
@@ -78,6 +78,12 @@
     /// where \p resumable.
     void configure(int version, int chatAttempts = 1, bool resumable = false);
 
+    /// Has \p edit change later configurations before they are written.
+    void editConfigurations(std::function<void(nlohmann::json &)> edit)
+    {
+        m_edit = std::move(edit);
+    }
+
     /// The teams of later configurations, as the platform writes them; none until called.
     void setTeams(nlohmann::json teams)
     {
@@ -118,6 +124,9 @@
     /// An open connection to \p vm that has sent \p request.
     asio::ip::tcp::socket send(const std::string &vm, const platform_request &request);
 
+    /// The whole text of \p request, for a connection that is open.
+    static std::string textOf(const platform_request &request);
+
     /// The same in two steps: all but the body, and the body, with which the request is whole.
     /// @{
     asio::ip::tcp::socket sendHead(const std::string &vm, const platform_request &request);
@@ -150,6 +159,7 @@
     std::map<std::string, std::unique_ptr<fake_target>> m_targets;
     std::map<std::string, vm_entry> m_vms;
     nlohmann::json m_teams;
+    std::function<void(nlohmann::json &)> m_edit;
     std::string m_folder;
     bool m_cutsSettings = false;
     std::thread m_thread;
