--- a/tests/platform_change_test.cpp
+++ b/tests/platform_change_test.cpp
@@ -237,4 +237,28 @@
     }
 }
 
+TEST(platform_change, furtherSignalsDoNotDisturbAStop)
+{
+    platform_world world;
+    world.configure(1);
+    world.addTarget({.id = "e1", .service = "models", .models = {"m1"}, .events = 30, .eventPause = milliseconds(50)});
+    const std::string vm = world.startVm();
+    ASSERT_TRUE(world.waitReady(vm));
+    asio::ip::tcp::socket running = world.send(vm, {.id = "running"});
+    ASSERT_TRUE(waitFor([&] {
+        return world.call([&] {
+            return world.target("e1").runs().contains("running");
+        });
+    }));
+    world.vm(vm).send(SIGTERM);
+    writeSettings(world, vm, "{\"bounds\":");
+    world.vm(vm).send(SIGHUP);
+    world.vm(vm).send(SIGTERM);
+    world.configure(2);
+    const platform_answer answer = platform_world::receive(running);
+    EXPECT_EQ(answer.status, 200);
+    EXPECT_TRUE(answer.complete);
+    EXPECT_EQ(world.vm(vm).waitForExit(), 0);
+}
+
 } // namespace fuchsialoom
