Own interface: an answer that comes just after its attempt was given up counts

A worker that says nothing for 250 ms past the deadline has its attempt given up. Where peers are still being told of an accusation, the request then waits for that, and an answer that its worker reported meanwhile was dropped: the caller got deadline-expired and outcome unknown though the answer was there, and the request stayed accused though it had run to its end. Such an answer is delivered now.

The new machine_case test failed before.

The oracle allows unknown after an attempt was cancelled before its worker reported.

--- a/packages/core/lib/request_attempts.cpp
+++ b/packages/core/lib/request_attempts.cpp
@@ -143,10 +143,17 @@
 void request_machine::handle(const attempt_ended &event)
 {
     const auto found = m_open.find(event.request);
-    if (found == m_open.end() || found->second.phase != request_phase::Running || found->second.attempt != event.attempt) {
+    if (found == m_open.end() || found->second.attempt != event.attempt) {
         return; // late or repeated
     }
     open_request &open = found->second;
+    if (open.phase != request_phase::Running) {
+        const bool wasGivenUp = open.phase == request_phase::Held && open.lastEnd == attempt_end::DeadlinePassed;
+        if (wasGivenUp && event.end == attempt_end::Completed) {
+            complete(open, event);
+        }
+        return;
+    }
     emit(timeline_event(event_kind::AttemptEnded, event.request.text())
              .with(event_field::Target, open.target)
              .with(event_field::Attempt, event.attempt)
--- a/packages/core/unittests/fake_fleet.h
+++ b/packages/core/unittests/fake_fleet.h
@@ -77,6 +77,7 @@
         std::size_t listing = 0; ///< of the target, when the attempt started
         std::size_t runs = 0; ///< times that a target took it to run; the truth
         bool mayHaveRun = false; ///< as its worker's reports allow
+        bool givenUp = false; ///< an attempt was cancelled before its worker reported
         bool gone = false; ///< its caller
         bool voided = false;
         std::size_t finals = 0;
--- a/packages/core/unittests/request_machine_test.cpp
+++ b/packages/core/unittests/request_machine_test.cpp
@@ -506,6 +506,21 @@
     EXPECT_EQ(started.front().request, request_id("b"));
 }
 
+TEST_F(machine_case, anAnswerIsDeliveredThatComesAfterItsAttemptWasGivenUpAtTheDeadline)
+{
+    list("e1");
+    report("e1");
+    incoming_request request = repeatableOf("r", 7);
+    request.deadline = now + seconds(1);
+    const auto first = only<start_attempt>(arrive(request)).front();
+    after(milliseconds(1200));
+    post(target_found_dead{first.target, first.incarnation});
+    EXPECT_TRUE(only<answer_failure>(after(milliseconds(60))).empty()) << "held until the peers are told";
+    const auto actions = end("r", 1, attempt_end::Completed);
+    EXPECT_EQ(only<request_done>(actions).size(), 1U);
+    EXPECT_EQ(machine.openRequests(), 0U);
+}
+
 TEST_F(machine_case, aKeyWhoseRequestWaitedToItsDeadlineIsFreeAgain)
 {
     list("e1");
