Tests: a second target that refuses after the first run was given up

What callers would see: 502, or a stream that is cut, though their sound engine only paused. At engines the silent run is closed 0.3 s after a successor got the request, also if that one has sent nothing. A successor that is silent itself, and refuses with X-Not-Run when it reads the request, leaves no run and no attempt. Going on at the first engine would stay within the route's attempts, which count engines.

The soak counts a failure as explained as well if the run that broke off had been given the request for as long as two engines may be at work on it (400 ms).

--- a/tests/platform_silence_soak_test.cpp
+++ b/tests/platform_silence_soak_test.cpp
@@ -46,6 +46,9 @@
 constexpr milliseconds lossSlack{200};
 /// An answer that the deadline explains comes no sooner than this before it: VMs and targets subtract the way.
 constexpr milliseconds deadlineSlack{100};
+/// Of the platform: an engine must not be at work on a request for 400 ms after it went on at another. VMs close the earlier
+/// run somewhat sooner.
+constexpr milliseconds handoverTime = milliseconds(400) - deadlineSlack - milliseconds(20);
 constexpr milliseconds fullTimeout{8000};
 constexpr milliseconds shorterTimeout{5000};
 constexpr std::uint64_t silentPercent = 25;
@@ -489,7 +492,8 @@
         });
     }
 
-    /// Whether none of its runs could answer: each broke off, or was closed after one that broke off had begun to answer.
+    /// Whether none of its runs could answer: each broke off, or was closed after one that broke off had begun to answer or,
+    /// at an engine, was to be the only one.
     bool isBroken(const soak_result &result) const
     {
         const auto found = m_runs.find(result.id);
@@ -501,6 +505,9 @@
             if (run.brokenAt && run.firstByteAt) {
                 answeredAt = std::min(answeredAt, *run.firstByteAt);
             }
+            if (run.brokenAt && result.route->isStream) {
+                answeredAt = std::min(answeredAt, run.startedAt + handoverTime);
+            }
         }
         return std::ranges::all_of(found->second, [&](const auto &one) {
             return one.second.brokenAt || (one.second.abandonedAt && *one.second.abandonedAt >= answeredAt);
--- a/tests/platform_silence_test.cpp
+++ b/tests/platform_silence_test.cpp
@@ -897,6 +897,31 @@
     }
 }
 
+/// The second target has read nothing when the first run may be given up, and refuses later.
+TEST_F(platform_silence_of_two_targets, beforeALateRefusalCutsNoAnswer)
+{
+    const std::vector<silent_request> requests = repeatableRequests(longSilence);
+    start();
+    for (const char *id : {"e1", "p1"}) {
+        planSilences(id, requests);
+    }
+    m_answers = askAll(requests);
+    ASSERT_TRUE(waitForRuns(requests));
+    for (const target_options &options : {engine("e2"), plain("p2")}) {
+        m_world.addTarget(options);
+        m_world.call([&] {
+            m_world.target(options.id).setFault(target_fault::Refuse);
+            m_world.target(options.id).fallSilent(2 * takeoverTime);
+        });
+    }
+    for (std::size_t index = 0; index < requests.size(); ++index) {
+        const silent_request &request = requests[index];
+        SCOPED_TRACE(request.id);
+        expectWhole(request.route, m_answers[index].get().answer, {firstOf(request.route)});
+        EXPECT_TRUE(runsAt(secondOf(request.route), request.id).empty());
+    }
+}
+
 TEST_F(platform_silence_of_two_targets, besideStopSignalCutsNoAnswer)
 {
     const std::vector<silent_request> requests = repeatableRequests(shortSilence);
