--- a/tests/platform_silence_test.cpp
+++ b/tests/platform_silence_test.cpp
@@ -266,6 +266,21 @@
         }
     }
 
+    /// The runs of a stream, in milliseconds from \p begin.
+    std::string timesOf(const std::string &id, steady_clock::time_point begin)
+    {
+        const auto since = [begin](steady_clock::time_point at) {
+            return std::to_string(std::chrono::duration_cast<milliseconds>(at - begin).count());
+        };
+        std::string text;
+        for (const char *target : {"e1", "e2"}) {
+            for (const target_run &run : runsAt(target, id)) {
+                text += std::string(target) + " from " + since(run.startedAt) + " to " + (run.endedAt ? since(*run.endedAt) : "?") + "; ";
+            }
+        }
+        return text;
+    }
+
     int mostRunsAtOnce(const std::string &target)
     {
         std::vector<std::pair<steady_clock::time_point, int>> changes;
@@ -764,7 +779,7 @@
         const timed_answer result = answers[index].get();
         expectWhole(routeKinds[0], result.answer, {});
         // As many as the targets have places, so none waits for the end of another.
-        EXPECT_LE(result.endedAt - result.sentAt, events * eventPause + takeoverSlack);
+        EXPECT_LE(result.endedAt - result.sentAt, events * eventPause + takeoverSlack) << timesOf(ids[index], result.sentAt);
     }
     for (const char *id : {"e1", "e2", "p1", "p2"}) {
         EXPECT_LE(mostRunsAtOnce(id), slots) << id;
@@ -897,6 +912,31 @@
     }
 }
 
+/// The second target has read nothing when the first run may be given up, and refuses later.
+TEST_F(platform_silence_of_two_targets, beforeALateRefusalCutsNoAnswer)
+{
+    const std::vector<silent_request> requests = repeatableRequests(longSilence);
+    start();
+    for (const char *id : {"e1", "p1"}) {
+        planSilences(id, requests);
+    }
+    m_answers = askAll(requests);
+    ASSERT_TRUE(waitForRuns(requests));
+    for (const target_options &options : {engine("e2"), plain("p2")}) {
+        m_world.addTarget(options);
+        m_world.call([&] {
+            m_world.target(options.id).setFault(target_fault::Refuse);
+            m_world.target(options.id).fallSilent(2 * takeoverTime);
+        });
+    }
+    for (std::size_t index = 0; index < requests.size(); ++index) {
+        const silent_request &request = requests[index];
+        SCOPED_TRACE(request.id);
+        expectWhole(request.route, m_answers[index].get().answer, {firstOf(request.route)});
+        EXPECT_TRUE(runsAt(secondOf(request.route), request.id).empty());
+    }
+}
+
 TEST_F(platform_silence_of_two_targets, besideStopSignalCutsNoAnswer)
 {
     const std::vector<silent_request> requests = repeatableRequests(shortSilence);
