A death well before or after a trial doesn't excuse the suspected request

Cause: the span in which deaths count as one wave was made for requests whose time of beginning isn't known. A trial begins tens of milliseconds before its target dies, so only a death of about the same moment may explain that end.

Now deaths within 0.25 s leave a trial in doubt as before. With others further apart the request is quarantined for a minute, and tried once more after it, so that an innocent one that met a chance death is refused for a minute and not for ten. The bound of two broken trials stays.

--- a/packages/gateway/include/fuchsialoom/gateway/crash_evidence.h
+++ b/packages/gateway/include/fuchsialoom/gateway/crash_evidence.h
@@ -2,8 +2,8 @@
 /// Finds the requests that crash the targets which run them, over all VMs. Every VM reports which requests were about to
 /// run at a target when its process died, and weighs the reports of all VMs alike. A request that was at several deaths is
 /// held back and then runs alone, as a trial. It is quarantined when chance doesn't explain its deaths, when its trial ends with
-/// the only target that dies then, or when a second trial breaks off, which bounds the deaths however many targets die for
-/// other reasons. Sans-I/O.
+/// the only target that dies then (for a short time if others die a moment earlier or later), or when a second trial breaks off,
+/// which bounds the deaths however many targets die for other reasons. Sans-I/O.
 #pragma once
 
 #include "fuchsialoom/core/quarantine.h"
@@ -162,6 +162,13 @@
 
     using cause_map = std::map<target_id, std::set<content_hash>>; ///< requests on trial or quarantined that were at each dead target
 
+    /// Around a death: the others in it may have the same cause.
+    struct wave_span
+    {
+        milliseconds before;
+        milliseconds after;
+    };
+
     /// What the weighing of one report depends on besides the report.
     struct death_context
     {
@@ -177,11 +184,11 @@
     /// \return nothing if the report was known, also as one of a trial.
     report_state *addReport(instant now, const crash_report &report);
     cause_map knownCauses() const;
-    /// Probability that a request which causes no deaths was at one of the service's targets that died around \p diedAt, of
-    /// which \p target was one. Deaths that have a known cause don't count.
-    double chanceOf(content_hash fingerprint, const target_id &target, instant diedAt, const death_context &context) const;
+    /// Probability that a request which causes no deaths was at one of the service's targets that died within \p span of the
+    /// reported death, this one included. Deaths that have a known cause don't count.
+    double chanceOf(const report_key &key, const wave_span &span, const death_context &context) const;
     /// Quarantines a request whose trials broke off. \return the end, if that is news.
-    std::optional<instant> convict(instant now, content_hash fingerprint);
+    std::optional<instant> convict(instant now, content_hash fingerprint, milliseconds length);
     report_tally tallyOf(content_hash fingerprint) const;
     /// To be called after each change of the reports of \p fingerprint.
     void updateSuspect(content_hash fingerprint);
--- a/packages/gateway/lib/crash_evidence.cpp
+++ b/packages/gateway/lib/crash_evidence.cpp
@@ -30,6 +30,11 @@
 static constexpr milliseconds waveBefore{1000};
 /// Time after a death in which the reports of its wave arrive from all VMs.
 static constexpr milliseconds settleTime{500};
+/// A trial runs for a moment, so only a death found within this time of its end, before or after, may explain that end.
+static constexpr milliseconds trialWave{250};
+/// Quarantine after a trial that ended beside other deaths, but not at the same moment. Longer than waves of crashes that follow
+/// each other.
+static constexpr milliseconds shortQuarantine{60 * 1000};
 /// A request that comes again does so within this time, or is judged anew. Six times the longest quarantine in use, so
 /// that one death after a quarantine is enough for the next.
 static constexpr milliseconds chargeMemory{3600 * 1000};
@@ -274,15 +279,17 @@
     return found != causes.end() && (found->second.size() > 1 || !found->second.contains(except));
 }
 
-double crash_evidence::chanceOf(content_hash fingerprint, const target_id &target, instant diedAt, const death_context &context) const
+double crash_evidence::chanceOf(const report_key &key, const wave_span &span, const death_context &context) const
 {
+    const auto &[fingerprint, target] = key;
+    const instant diedAt = m_reports.at(key).diedAt;
     const auto factsOf = [&context](const target_id &one) {
         return context.lookup ? context.lookup(one) : service_facts();
     };
     const service_facts facts = factsOf(target);
     std::size_t others = 0;
     for (const auto &[other, at] : m_deaths) {
-        const bool isNear = at >= diedAt - waveBefore && at <= diedAt + settleTime;
+        const bool isNear = at >= diedAt - span.before && at <= diedAt + span.after;
         if (!isNear || m_reports.contains({fingerprint, other}) || isExplained(context.causes, other, fingerprint)) {
             continue;
         }
@@ -299,9 +306,9 @@
     return {fingerprint, until, tally.deaths, tally.trials, tally.hasOwn};
 }
 
-std::optional<instant> crash_evidence::convict(instant now, content_hash fingerprint)
+std::optional<instant> crash_evidence::convict(instant now, content_hash fingerprint, milliseconds length)
 {
-    const instant until = now + m_quarantineLength;
+    const instant until = now + length;
     return m_quarantine.learn(now, fingerprint, until) ? std::optional(until) : std::nullopt;
 }
 
@@ -310,11 +317,14 @@
     const auto &[fingerprint, target] = key;
     const report_state &state = m_reports.at(key);
     const bool hasOtherCause = isExplained(context.causes, target, fingerprint);
-    const double chance = chanceOf(fingerprint, target, state.diedAt, context);
+    const double chance = chanceOf(key, {waveBefore, settleTime}, context);
     if (state.isTrial) {
-        const bool isLoneDeath = state.isDeathSeen && !hasOtherCause && chance <= minChance;
-        if (isLoneDeath || tallyOf(fingerprint).trials >= brokenTrialsToQuarantine) {
-            return convict(now, fingerprint);
+        const bool isOnlyCause = state.isDeathSeen && !hasOtherCause;
+        if ((isOnlyCause && chance <= minChance) || tallyOf(fingerprint).trials >= brokenTrialsToQuarantine) {
+            return convict(now, fingerprint, m_quarantineLength);
+        }
+        if (isOnlyCause && chanceOf(key, {trialWave, trialWave}, context) <= minChance) {
+            return convict(now, fingerprint, std::min(shortQuarantine, m_quarantineLength));
         }
     }
     if (hasOtherCause) {
--- a/packages/gateway/unittests/crash_containment_test.cpp
+++ b/packages/gateway/unittests/crash_containment_test.cpp
@@ -51,6 +51,7 @@
 struct containment_result
 {
     std::size_t mostLateSends = 0; ///< of one crashing request
+    std::size_t lateSendsTogether = 0; ///< of all, after the third target that any of them ended
     std::size_t mostEnds = 0; ///< sends of one crashing request that ended with a target
     std::size_t innocents = 0;
     std::size_t suspected = 0; ///< innocents that were refused or failed as suspected
@@ -84,15 +85,9 @@
         }
         for (const auto &[fingerprint, sends] : m_crashSends) {
             m_result.mostEnds = std::max(m_result.mostEnds, sends.size());
-            if (sends.size() <= endsToContain) {
-                continue;
-            }
-            const instant contained = sends[endsToContain - 1].endedAt + containmentTime;
-            const auto late = std::ranges::count_if(sends, [contained](const crash_send &one) {
-                return one.sentAt > contained;
-            });
-            m_result.mostLateSends = std::max(m_result.mostLateSends, static_cast<std::size_t>(late));
+            m_result.mostLateSends = std::max(m_result.mostLateSends, lateSends(sends));
         }
+        m_result.lateSendsTogether = lateSends(allSends());
         return m_result;
     }
 
@@ -132,6 +127,28 @@
         instant endedAt;
     };
 
+    std::vector<crash_send> allSends() const
+    {
+        std::vector<crash_send> all;
+        for (const auto &[fingerprint, sends] : m_crashSends) {
+            all.insert(all.end(), sends.begin(), sends.end());
+        }
+        std::ranges::sort(all, {}, &crash_send::endedAt);
+        return all;
+    }
+
+    /// \p sends: by their ends.
+    static std::size_t lateSends(const std::vector<crash_send> &sends)
+    {
+        if (sends.size() <= endsToContain) {
+            return 0;
+        }
+        const instant contained = sends[endsToContain - 1].endedAt + containmentTime;
+        return static_cast<std::size_t>(std::ranges::count_if(sends, [contained](const crash_send &one) {
+            return one.sentAt > contained;
+        }));
+    }
+
     bool isCrasher(content_hash fingerprint) const
     {
         return fingerprint.value() <= static_cast<std::uint64_t>(m_load.crashers);
@@ -366,10 +383,12 @@
     containment_result play(containment_load load)
     {
         const containment_result result = containment_play(GetParam(), load).play();
-        std::printf("crashers %d, waves each %lld ms: late sends %zu, ends %zu; of %zu innocents %zu times suspected, %zu quarantined\n",
+        std::printf("crashers %d, waves each %lld ms: late sends %zu, together %zu, ends %zu; of %zu innocents %zu times suspected, %zu "
+                    "quarantined\n",
                     load.crashers,
                     static_cast<long long>(load.waveInterval.count()),
                     result.mostLateSends,
+                    result.lateSendsTogether,
                     result.mostEnds,
                     result.innocents,
                     result.suspected,
@@ -400,6 +419,11 @@
     }
 }
 
+TEST_P(crash_containment, threeCrashingRequestsAmidWavesGetThreeMoreSendsTogether)
+{
+    EXPECT_LE(play({.crashers = 3, .waveInterval = milliseconds(2000)}).lateSendsTogether, maxSendsAfterwards);
+}
+
 TEST_P(crash_containment, aRequestThatCrashesTwoTargetsOfThreeGetsThreeMoreSendsAtMost)
 {
     const containment_result result = play({.crashers = 1, .crashShare = 0.67});
--- a/packages/gateway/unittests/crash_evidence_test.cpp
+++ b/packages/gateway/unittests/crash_evidence_test.cpp
@@ -60,6 +60,31 @@
         tell(vm, m_vms[vm].trialBroke(now, fingerprint, target));
     }
 
+    /// \p target dies under a trial of \p fingerprint by \p vm.
+    void dieUnderTrial(std::size_t vm, content_hash fingerprint, const target_id &target)
+    {
+        breakTrial(vm, fingerprint, target);
+        die(vm, fingerprint, target);
+    }
+
+    /// \p target dies with nothing about to run there.
+    void dieIdle(const target_id &target)
+    {
+        for (crash_evidence &vm : m_vms) {
+            vm.targetDied(now, target);
+        }
+    }
+
+    /// \p fingerprint is at two deaths, beside as many that it isn't at.
+    void becomeSuspect(content_hash fingerprint)
+    {
+        for (int death = 0; death < 2; ++death) {
+            die(0, fingerprint, numbered(death));
+            dieIdle(numbered(100 + death));
+            EXPECT_TRUE(pass(seconds(2)).empty());
+        }
+    }
+
     void complete(std::size_t vm, content_hash fingerprint)
     {
         tell(vm, m_vms[vm].completed(now, fingerprint));
@@ -377,6 +402,42 @@
     EXPECT_TRUE(fleet.isRefusedEverywhere(poison));
 }
 
+TEST(crash_evidence, aDeathWellBeforeATrialDoesNotExplainTheEndOfItsTarget)
+{
+    crash_fleet fleet(3);
+    fleet.becomeSuspect(poison);
+    fleet.dieIdle(numbered(10));
+    fleet.pass(milliseconds(400));
+    fleet.dieUnderTrial(1, poison, numbered(2));
+    fleet.pass(settled);
+    EXPECT_TRUE(fleet.isRefusedEverywhere(poison));
+    fleet.pass(seconds(60));
+    EXPECT_FALSE(fleet.isRefusedAt(0, poison)) << "it may have been chance, so not for as long as after a certain verdict";
+    ASSERT_TRUE(fleet.at(0).heldUntil(poison)) << "but only as a trial";
+    fleet.dieUnderTrial(2, poison, numbered(3));
+    fleet.pass(seconds(61));
+    EXPECT_TRUE(fleet.isRefusedEverywhere(poison));
+}
+
+TEST(crash_evidence, aDeathAtTheMomentOfATrialMayExplainTheEndOfItsTarget)
+{
+    for (const bool isBefore : {true, false}) {
+        crash_fleet fleet(3);
+        fleet.becomeSuspect(innocent);
+        const auto other = [&fleet] {
+            fleet.dieIdle(numbered(10));
+        };
+        const auto trial = [&fleet] {
+            fleet.dieUnderTrial(1, innocent, numbered(2));
+        };
+        isBefore ? other() : trial();
+        fleet.pass(milliseconds(200));
+        isBefore ? trial() : other();
+        EXPECT_TRUE(fleet.pass(settled).empty()) << isBefore;
+        EXPECT_FALSE(fleet.isRefusedAt(1, innocent)) << isBefore;
+    }
+}
+
 TEST(crash_evidence, deathsInAnotherServiceAreNoExplanation)
 {
     crash_evidence evidence(quarantineLength);
