--- a/packages/core/lib/request_accusations.cpp
+++ b/packages/core/lib/request_accusations.cpp
@@ -20,6 +20,12 @@
             accuse(id, accusation{target, incarnation, {open.request.fingerprint}, leaving});
         }
     }
+    accuseBroken(target, incarnation, leaving);
+}
+
+/// Accuses the requests whose connections to the process broke before it was known to be dead.
+void request_machine::accuseBroken(const target_id &target, incarnation_number incarnation, bool leaving)
+{
     for (const broken_attempt &broken : m_quarantine.takeBroken(target, incarnation)) {
         holdForSpread(broken);
         accuse(broken.request, accusation{target, incarnation, {broken.fingerprint}, leaving});
@@ -38,7 +44,7 @@
     const bool isLatest = open.verdictBy && open.target == broken.target && open.incarnation == broken.incarnation;
     if (isLatest) {
         open.verdictBy.reset();
-    } else if (open.unjudged > 0) {
+    } else if (broken.unjudged) {
         --open.unjudged; // the latest attempt, at another target, still waits for its own verdict
     }
     open.spreadBy = m_now + m_policy.spreadWait;
--- a/packages/core/unittests/request_machine_test.cpp
+++ b/packages/core/unittests/request_machine_test.cpp
@@ -202,6 +202,54 @@
     EXPECT_EQ(moved.attempt, attempt_number(2));
 }
 
+TEST_F(machine_case, aSilentStreamIsNotGivenUpBeforeAnotherTargetCanTakeIt)
+{
+    list("e1");
+    report("e1");
+    const auto first = only<start_attempt>(arrive(repeatableOf("r"))).front();
+    const auto expectFollowed = [&] {
+        const auto actions = end("r", 1, attempt_end::Silent);
+        EXPECT_TRUE(only<cancel_attempt>(actions).empty());
+        ASSERT_EQ(only<start_attempt>(actions).size(), 1U);
+        EXPECT_TRUE(only<start_attempt>(actions).front().resume);
+        EXPECT_EQ(only<start_attempt>(actions).front().target, first.target);
+    };
+    expectFollowed();
+    expectFollowed();
+    list("e2");
+    report("e2", 1, 0);
+    expectFollowed();
+    now += milliseconds(1);
+    report("e2");
+    const auto actions = end("r", 1, attempt_end::Silent);
+    EXPECT_EQ(only<cancel_attempt>(actions).size(), 1U);
+    ASSERT_EQ(only<start_attempt>(actions).size(), 1U);
+    EXPECT_EQ(only<start_attempt>(actions).front().target, target_id("e2"));
+}
+
+TEST_F(machine_case, aSilentStreamThatMayNotStartElsewhereIsFollowedToItsDeadline)
+{
+    list("e1");
+    list("e2");
+    report("e1");
+    report("e2");
+    incoming_request unsafe = requestOf("unsafe");
+    incoming_request unpaid = repeatableOf("unpaid");
+    unpaid.retryBudgetPercent = 0;
+    for (incoming_request &request : {std::ref(unsafe), std::ref(unpaid)}) {
+        request.deadline = now + seconds(60);
+        arrive(request);
+        for (int times = 0; times < 3; ++times) {
+            const auto actions = end(request.id.text().c_str(), 1, attempt_end::Silent);
+            EXPECT_TRUE(only<cancel_attempt>(actions).empty());
+            ASSERT_EQ(only<start_attempt>(actions).size(), 1U);
+            EXPECT_TRUE(only<start_attempt>(actions).front().resume);
+        }
+        const failure late = onlyFailure(end(request.id.text().c_str(), 1, attempt_end::DeadlinePassed));
+        EXPECT_EQ(late.kind, error_kind::DeadlineExpired);
+    }
+}
+
 TEST_F(machine_case, endsASilentNonRepeatableRequestAsUnknown)
 {
     list("p", target_kind::Plain);
@@ -336,6 +384,85 @@
     EXPECT_EQ(onlyFailure(post(accusation_spread{request_id("r")})).kind, error_kind::Quarantined);
 }
 
+TEST_F(machine_case, theDeathOfATargetThatWasProvedAliveSettlesNoBreakElsewhere)
+{
+    for (const char *id : {"e1", "e2", "e3", "e4"}) {
+        list(id);
+        report(id);
+    }
+    const auto first = only<start_attempt>(arrive(repeatableOf("r", 7))).front();
+    const attempt_ended foundAlive{request_id("r"), attempt_number(1), attempt_end::Lost, 0, 0, {}, std::nullopt, incarnation_number(1)};
+    ASSERT_TRUE(only<start_attempt>(post(foundAlive)).front().resume);
+    ASSERT_FALSE(only<start_attempt>(post(foundAlive)).front().resume) << "no progress";
+    end("r", 2, attempt_end::Lost);
+    ASSERT_EQ(only<start_attempt>(after(request_policy().verdictWait)).size(), 1U);
+    post(target_lost{first.target});
+    post(accusation_spread{request_id("r")});
+    const auto actions = end("r", 3, attempt_end::NotSent);
+    EXPECT_TRUE(only<start_attempt>(actions).empty()) << "one death and one break without a verdict";
+    EXPECT_EQ(onlyFailure(actions).kind, error_kind::TargetLost);
+}
+
+TEST_F(machine_case, theSilenceOfATargetAccusesNothingThatRunsThere)
+{
+    list("e1");
+    list("e2");
+    report("e1");
+    report("e2");
+    const auto first = only<start_attempt>(arrive(repeatableOf("r", 7))).front();
+    EXPECT_TRUE(only<spread_accusation>(post(target_silent{first.target})).empty());
+    const auto other = only<start_attempt>(arrive(repeatableOf("other", 8))).front();
+    EXPECT_NE(other.target, first.target);
+    EXPECT_EQ(only<request_done>(end("r", 1, attempt_end::Completed)).size(), 1U);
+    list(first.target.text().c_str());
+    post(target_silent{other.target});
+    EXPECT_EQ(only<start_attempt>(arrive(repeatableOf("next", 9))).front().target, first.target) << "it answers again";
+}
+
+TEST_F(machine_case, aSilentTargetWhoseConnectionBreaksCountsAsDead)
+{
+    for (const char *id : {"e1", "e2", "e3"}) {
+        list(id);
+        report(id);
+    }
+    const auto before = only<start_attempt>(arrive(repeatableOf("before", 7))).front();
+    end("before", 1, attempt_end::Lost);
+    EXPECT_EQ(only<spread_accusation>(post(target_silent{before.target})).size(), 1U);
+    const auto after = only<start_attempt>(arrive(repeatableOf("after", 8))).front();
+    EXPECT_TRUE(only<spread_accusation>(post(target_silent{after.target})).empty());
+    EXPECT_EQ(only<spread_accusation>(end("after", 1, attempt_end::Lost)).size(), 1U);
+}
+
+TEST_F(machine_case, aTargetThatReturnsFromItsSilenceAnewAccusesWhatRanThere)
+{
+    list("e1");
+    report("e1");
+    arrive(repeatableOf("r", 7));
+    post(target_silent{target_id("e1")});
+    now += milliseconds(1);
+    list("e1");
+    load_report anew;
+    anew.target = target_id("e1");
+    anew.incarnation = incarnation_number(2);
+    anew.takenAt = now;
+    EXPECT_EQ(only<spread_accusation>(post(load_reported{anew})).size(), 1U);
+}
+
+TEST_F(machine_case, aStreamLeavesASilentTargetAtOnceWhereAnotherHasRoom)
+{
+    list("e1");
+    list("e2");
+    report("e1");
+    report("e2");
+    const auto first = only<start_attempt>(arrive(repeatableOf("r"))).front();
+    post(target_silent{first.target});
+    const auto moved = only<start_attempt>(end("r", 1, attempt_end::Silent, 5));
+    ASSERT_EQ(moved.size(), 1U);
+    EXPECT_NE(moved.front().target, first.target);
+    post(target_silent{moved.front().target});
+    EXPECT_TRUE(only<start_attempt>(end("r", 2, attempt_end::Silent, 6)).front().resume);
+}
+
 TEST_F(machine_case, anOrderlyLeaveAccusesNobodyAndCutsNothingOff)
 {
     list("e1");
--- a/packages/gateway/lib/exchange.cpp
+++ b/packages/gateway/lib/exchange.cpp
@@ -1,6 +1,6 @@
 /// \file
 /// Life cycle of one request: admission, deadlines and completion. exchange_admission.cpp decides whose it is,
-/// exchange_attempts.cpp implements its attempts.
+/// exchange_attempts.cpp implements its attempts, exchange_silence.cpp what follows when a target sends nothing.
 #include "exchange.h"
 
 #include "fuchsialoom/gateway/request_fingerprint.h"
@@ -14,14 +14,6 @@
 
 /// Timeout of a request without a deadline; longer than any latency objective that users configure.
 static constexpr milliseconds defaultCallerTimeout{30000};
-/// Minimum time without received bytes after which an attempt is considered stalled. Healthy targets send the next
-/// event of a stream within 40 ms and the first within the objective; callers abandon a stream after 2 s.
-static constexpr milliseconds minStallTimeout{1000};
-/// Stall timeout of requests that are not streams, as a multiple of the objective. The slowest 1% of requests takes
-/// five times the mean, and the mean is a quarter of the objective.
-static constexpr int stallTimeoutObjectives = 3;
-/// Stall timeout of a started stream, as a multiple of the gap objective.
-static constexpr int stallTimeoutGaps = 4;
 /// Subtracted from the caller's timeout, which started when the caller sent the request.
 static constexpr milliseconds callerNetworkDelay{3};
 
@@ -285,9 +277,7 @@
 
 void exchange::abortForShutdown()
 {
-    if (m_attempt) {
-        m_attempt->link->close();
-    }
+    closeAttempts();
     if (!m_attempt && !m_history.mayHaveRun && !m_streamStarted) {
         refuse(refusal::Draining, milliseconds(0));
         return;
@@ -303,7 +293,7 @@
     const instant first = m_streamStarted ? m_firstEventAt : now;
     sample.first = std::chrono::duration_cast<milliseconds>(first - m_attempt->sentAt);
     sample.rest = std::chrono::duration_cast<milliseconds>(now - first);
-    sample.events = m_eventScanner.count();
+    sample.events = scanner().count();
     sample.outputTokens = m_facts.maxOutputTokens;
     m_gateway.m_runMeters[m_route.name].record(now, sample);
     if (!m_isEngine) {
@@ -317,9 +307,7 @@
         return;
     }
     m_gateway.m_counters.abandoned += 1;
-    if (m_attempt) {
-        m_attempt->link->close();
-    }
+    closeAttempts();
     finish("abandoned", "caller-left");
 }
 
@@ -344,8 +332,8 @@
     if (m_streamStarted) {
         line.with("gap-objective-ms", std::to_string(m_route.gapObjective.count()));
         line.with("first-ms", std::to_string(std::chrono::duration_cast<milliseconds>(m_firstEventAt - m_arrivedAt).count()));
-        line.with("events", std::to_string(m_eventScanner.count())).with("gap-ms", std::to_string(m_gapMs));
-        line.with("unfinished-bytes", std::to_string(m_eventScanner.rest().size()));
+        line.with("events", std::to_string(scanner().count())).with("gap-ms", std::to_string(m_gapMs));
+        line.with("unfinished-bytes", std::to_string(scanner().rest().size()));
     }
     m_gateway.m_log.writeRequest(now, line);
     // A refusal states that the request hasn't run, so the latest attempt was one that its target didn't run.
@@ -365,22 +353,14 @@
     endTrial();
     m_done = true;
     m_timer.cancel();
-    endAttempt();
+    endAttempts();
     m_gateway.m_openExchanges.erase(m_serial);
     m_gateway.onExchangeDone(*this);
 }
 
 instant exchange::stallDeadline() const
 {
-    if (!m_attempt) {
-        return farFuture;
-    }
-    milliseconds stallTimeout = std::max(minStallTimeout, stallTimeoutObjectives * m_route.objective);
-    if (isStream()) {
-        stallTimeout = m_streamStarted ? std::max(minStallTimeout, stallTimeoutGaps * m_route.gapObjective)
-                                       : std::max(minStallTimeout, m_route.objective);
-    }
-    return m_attempt->lastByteAt + stallTimeout;
+    return m_attempt ? stalledFrom(m_route, m_streamStarted, m_attempt->lastByteAt) : farFuture;
 }
 
 void exchange::armTimer()
@@ -389,7 +369,8 @@
         return;
     }
     const instant end = m_streamStarted ? m_deadlines.callerDeadline : m_deadlines.answerDeadline;
-    const instant next = std::max(std::min(end, stallDeadline()), loopNow() + milliseconds(1));
+    const instant silenceCheck = std::max(stallDeadline(), m_nextTakeoverAt);
+    const instant next = std::max(std::min({end, silenceCheck, handoverDeadline()}), loopNow() + milliseconds(1));
     const auto self = shared_from_this();
     m_timer.expires_at(std::chrono::steady_clock::time_point(next.time_since_epoch()));
     m_timer.async_wait([self](const asio::error_code &problem) {
@@ -407,17 +388,11 @@
         onDeadlineReached();
         return;
     }
-    if (m_attempt && now >= stallDeadline()) {
-        m_gateway.m_pool.avoid(now, m_attempt->target, unreachableAvoidance);
-        const bool attemptsLeft = m_history.targetsTried + 1 < m_history.attempts;
-        if (m_history.repeatable && attemptsLeft && m_gateway.retryBudgetFor(m_service).allows(now)) {
-            onUnanswered();
-            m_attempt->link->close();
-            handleAttemptEnd(attempt_outcome::Silent);
-        } else {
-            // No retry is possible: keeps waiting, and checks again after another stall timeout.
-            m_attempt->lastByteAt = now;
-        }
+    if (now >= handoverDeadline()) {
+        onHandoverDue();
+    }
+    if (now >= stallDeadline()) {
+        onSilence(now);
     }
     armTimer();
 }
@@ -429,11 +404,16 @@
         refuse(refusal::TimedOut, std::nullopt);
         return;
     }
-    if (m_attempt) {
-        m_gateway.m_pool.failed(loopNow(), m_attempt->target);
-        onUnanswered();
-        m_attempt->link->close();
+    for (const std::optional<attempt> *one : {&m_attempt, &m_successor}) {
+        if (!*one) {
+            continue;
+        }
+        if (!(*one)->headReceived || (*one)->isSilent) {
+            m_gateway.m_pool.failed(loopNow(), (*one)->target);
+        }
+        onUnanswered(**one);
     }
+    closeAttempts();
     failRequest(statusTimedOut, "deadline");
 }
 
--- a/packages/http/include/fuchsialoom/http/caller_link.h
+++ b/packages/http/include/fuchsialoom/http/caller_link.h
@@ -49,7 +49,7 @@
     std::function<void(const std::shared_ptr<caller_link> &, received_request)> onRequest;
     /// A connection sent what is no request; it was answered and closed.
     std::function<void(reading_problem)> onRejected;
-    /// The limits in force, asked for when a connection starts on a request.
+    /// The limits in force now; they may change while a connection is open.
     std::function<const caller_limits &()> limits;
 };
 
@@ -78,7 +78,7 @@
     /// so that a request on its way is still answered.
     void drain(instant idleUntil);
 
-    /// A request is being answered, or part of one has come.
+    /// A request is being answered, part of one has come, or the caller may still be receiving the last answer.
     bool isBusy() const;
     bool isOpen() const
     {
@@ -92,6 +92,8 @@
     }
 
 private:
+    static constexpr std::size_t readBytes = 8192;
+
     void read();
     void onBytes(std::string_view bytes);
     void readRequests();
@@ -103,9 +105,18 @@
     /// Whether closing the socket resets the connection.
     void setResetOnClose(bool resets);
     void onAnswered();
+    /// Ends this side of the connection, then drops what comes until the caller ends its own.
+    void linger();
     void onLost();
+    milliseconds timeoutInForce() const;
+    void waitFrom(instant began);
+    instant waitEnd() const;
+    /// Has onTime() called at the end of the wait, or earlier.
     void watchTime();
     void onTime();
+    bool isWaitOver() const;
+    /// Takes bytes that have arrived, without waiting. \return whether there were any.
+    bool readArrived();
     void close();
 
     asio::ip::tcp::socket m_socket;
@@ -113,21 +124,25 @@
     std::shared_ptr<const caller_events> m_events;
     request_reader m_reader;
     std::string m_buffered; ///< bytes after the request that is being answered; bounded by mostBuffered
-    std::array<char, 8192> m_incoming;
+    std::array<char, readBytes> m_incoming;
     std::string m_outgoing; ///< being written
     std::string m_next; ///< to be written after it
     std::function<void()> m_onGone;
-    instant m_waitUntil; ///< for the rest of a request, or for the next one
+    std::size_t m_droppedBytes = 0; ///< that came after the last request
+    instant m_waitBegan; ///< for the rest of a request, for the next one, or for the caller's end
+    instant m_waitUntil; ///< end of the wait by the timeout in force when it began
+    instant m_drainUntil = farFuture; ///< idle connections are closed then
     bool m_answering = false;
     bool m_streaming = false;
     bool m_toHead = false; ///< the request is a HEAD: no body is sent
     bool m_chunks = true; ///< a stream is sent in chunks; else it ends with the connection
     bool m_keepAlive = true;
     bool m_draining = false;
-    bool m_closing = false; ///< to be closed when everything is written
+    bool m_closing = false; ///< the last answer is being written, or the caller's end is awaited
     bool m_closed = false;
     bool m_writing = false;
     bool m_reading = false;
+    bool m_watching = false; ///< the timer is set
     bool m_continued = false; ///< leave to send the body was given
 };
 
@@ -140,6 +155,7 @@
 
     /// Connections count against \p most; beyond it new ones wait.
     void start(std::size_t most);
+    /// Takes the connections that callers have opened so far, and no more.
     void stopAccepting();
     void drain(instant idleUntil);
 
@@ -152,6 +168,7 @@
 
 private:
     void accept();
+    void startLink(asio::ip::tcp::socket socket);
     void sweep();
 
     asio::ip::tcp::acceptor m_acceptor;
