Callers: a slow caller's answer isn't cut, and a stop loses no accepted connection

A write is waited for as long as the caller takes bytes, which shows in what the system has sent and in its send buffer; else the idle time ends it. What has been accepted is started before the listener's state is looked at.

--- a/packages/http/include/fuchsialoom/http/caller_link.h
+++ b/packages/http/include/fuchsialoom/http/caller_link.h
@@ -102,6 +102,7 @@
     void sendHead(int status, const header_list &headers, std::string_view framing);
     void queue(std::string_view bytes);
     void flush();
+    void writeRest();
     /// Whether closing the socket resets the connection.
     void setResetOnClose(bool resets);
     void onAnswered();
@@ -115,6 +116,8 @@
     void watchTime();
     void onTime();
     bool isWaitOver() const;
+    /// Whether the caller has taken bytes since the last look.
+    bool hasTakenBytes();
     /// Takes bytes that have arrived, without waiting. \return whether there were any.
     bool readArrived();
     void close();
@@ -126,6 +129,8 @@
     std::string m_buffered; ///< bytes after the request that is being answered; bounded by mostBuffered
     std::array<char, readBytes> m_incoming;
     std::string m_outgoing; ///< being written
+    std::size_t m_outgoingWritten = 0; ///< bytes of it
+    int m_unacknowledged = 0; ///< bytes that the caller hadn't taken at the last look
     std::string m_next; ///< to be written after it
     std::function<void()> m_onGone;
     std::size_t m_droppedBytes = 0; ///< that came after the last request
--- a/packages/http/lib/caller_link.cpp
+++ b/packages/http/lib/caller_link.cpp
@@ -7,6 +7,10 @@
 #include <algorithm>
 #include <cassert>
 #include <cstdio>
+#include <limits>
+#include <utility>
+
+#include <linux/sockios.h>
 
 namespace fuchsialoom
 {
@@ -299,24 +303,40 @@
         return;
     }
     m_outgoing = std::move(m_next);
+    m_outgoingWritten = 0;
+    m_unacknowledged = std::numeric_limits<int>::max();
     m_next.clear();
     m_writing = true;
+    writeRest();
+}
+
+void caller_link::writeRest()
+{
     const auto self = shared_from_this();
-    asio::async_write(m_socket, asio::buffer(m_outgoing), [self](const asio::error_code &failed, std::size_t) {
-        self->m_writing = false;
-        self->m_outgoing.clear();
+    m_socket.async_write_some(asio::buffer(m_outgoing) + m_outgoingWritten, [self](const asio::error_code &failed, std::size_t written) {
+        if (self->m_closed) {
+            return;
+        }
         if (failed) {
+            self->m_writing = false;
             self->onLost();
             return;
         }
-        self->flush();
-        if (self->m_writing || self->m_answering) {
+        self->m_outgoingWritten += written;
+        self->m_unacknowledged = std::numeric_limits<int>::max();
+        if (!self->m_answering) {
+            // A caller may take the rest of an answer as slowly as it makes progress.
+            self->waitFrom(loopNow());
+        }
+        if (self->m_outgoingWritten < self->m_outgoing.size()) {
+            self->writeRest();
             return;
         }
-        if (self->m_closing) {
+        self->m_writing = false;
+        self->m_outgoing.clear();
+        self->flush();
+        if (self->m_closing && !self->m_writing) {
             self->linger();
-        } else {
-            self->watchTime();
         }
     });
 }
@@ -331,6 +351,8 @@
         m_closing = true;
         if (!m_writing) {
             linger();
+        } else {
+            waitFrom(loopNow());
         }
         return;
     }
@@ -431,6 +453,10 @@
         watchTime();
         return;
     }
+    if (m_writing && hasTakenBytes()) {
+        waitFrom(loopNow());
+        return;
+    }
     if (m_reader.hasStarted() && !m_closing) {
         reject(reading_problem::TimedOut);
         return;
@@ -438,6 +464,41 @@
     close();
 }
 
+namespace
+{
+
+/// Bytes in the socket's send buffer that its peer hasn't acknowledged.
+class unacknowledged_bytes
+{
+public:
+    static int name()
+    {
+        return SIOCOUTQ;
+    }
+    void *data()
+    {
+        return &m_bytes;
+    }
+    int value() const
+    {
+        return m_bytes;
+    }
+
+private:
+    int m_bytes = 0;
+};
+
+} // namespace
+
+/// The system takes bytes in large steps, so a slow caller's progress shows in its buffer only.
+bool caller_link::hasTakenBytes()
+{
+    unacknowledged_bytes left;
+    asio::error_code problem;
+    m_socket.io_control(left, problem);
+    return !problem && left.value() < std::exchange(m_unacknowledged, left.value());
+}
+
 bool caller_link::isWaitOver() const
 {
     return !m_closed && !m_answering && loopNow() >= waitEnd();
@@ -519,9 +580,10 @@
         return;
     }
     m_acceptor.async_accept([this](const asio::error_code &problem, asio::ip::tcp::socket socket) {
-        if (problem == asio::error::operation_aborted || !m_acceptor.is_open()) {
+        if (problem == asio::error::operation_aborted) {
             return;
         }
+        // It may have been accepted just before the listener stopped.
         if (!problem) {
             startLink(std::move(socket));
         }
--- a/packages/http/unittests/caller_link_test.cpp
+++ b/packages/http/unittests/caller_link_test.cpp
@@ -431,4 +431,54 @@
     EXPECT_EQ(m_requests.size(), callers.size());
 }
 
+TEST_F(caller_link_test, anAnswerThatItsCallerTakesSlowlyIsNotCutAtTheIdleTime)
+{
+    m_limits.idleTimeout = milliseconds(200);
+    reconnect(4096);
+    m_answerAtOnce = false;
+    write(plainRequest);
+    ASSERT_TRUE(m_link);
+    const std::string body(8000000, 'b');
+    m_link->respond(200, {}, body);
+    std::string text;
+    for (int round = 0; round < 10000 && !m_closed && !text.ends_with("\r\n\r\n" + body); ++round) {
+        std::array<char, 20000> bytes{};
+        asio::error_code problem;
+        m_caller.non_blocking(true);
+        const std::size_t size = m_caller.read_some(asio::buffer(bytes), problem);
+        m_closed = problem && problem != asio::error::would_block;
+        text.append(bytes.data(), size);
+        runFor(milliseconds(1));
+    }
+    EXPECT_TRUE(text.ends_with("\r\n\r\n" + body)) << text.size();
+}
+
+TEST_F(caller_link_test, aCallerWhoTakesNothingOfItsLastAnswerDoesNotHoldTheConnectionForEver)
+{
+    m_limits.idleTimeout = milliseconds(200);
+    reconnect(4096);
+    m_answerAtOnce = false;
+    write("GET /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+    ASSERT_TRUE(m_link);
+    m_link->respond(200, {}, std::string(8000000, 'b'));
+    runFor(milliseconds(3000));
+    EXPECT_FALSE(m_link->isOpen());
+}
+
+TEST_F(caller_link_test, aConnectionAcceptedJustBeforeTheListenerStopsIsAnswered)
+{
+    runFor(milliseconds(10));
+    std::vector<asio::ip::tcp::socket> callers;
+    for (int number = 0; number < 5; ++number) {
+        callers.emplace_back(m_loop).connect(m_listener.address());
+        asio::write(callers.back(), asio::buffer(std::string(plainRequest)));
+    }
+    m_loop.restart();
+    m_loop.poll_one();
+    m_listener.drain(loopNow());
+    m_listener.stopAccepting();
+    runFor(milliseconds(30));
+    EXPECT_EQ(m_requests.size(), callers.size());
+}
+
 } // namespace fuchsialoom
