A request that may have run isn't failed by a stop while it waits for another target

Found in review: refuseUnfinishable failed a queued request that may have run with 504 as soon as the VM's stop was planned, though dispatchQueued keeps such a request, which can't be refused as not run and loses nothing by another attempt. Callers got 504 beside a stop after a broken attempt, where room came 50 ms later.

--- a/packages/gateway/lib/gateway.cpp
+++ b/packages/gateway/lib/gateway.cpp
@@ -407,7 +407,7 @@
     }
     std::vector<std::shared_ptr<exchange>> unfinishable;
     for (const auto &[serial, ex] : m_queued) {
-        if (isUnfinishable(now, *ex)) {
+        if (isUnfinishable(now, *ex) && !ex->m_history.mayHaveRun) {
             unfinishable.push_back(ex);
         }
     }
