Two attempts of a request: no busy wait, room for silent streams, a third target

Found in review of the two attempts, each red before on (exchange_silence_test.*): beside a successor the timer of a silent attempt fired each millisecond (496 handlers in 500 ms); a silent stream looked for room at most each 50 ms, so room that became free went to waiting requests; a successor at a plain target that was silent as well kept the request from a third target; a connection that may be lost kept its idle target avoided until the caller's deadline.

The interval holds for the timer alone; streams look whenever room may have become free, once for each group of targets without room. When both attempts are silent and a third target has room, the one that has been silent for longest is given up. Avoidance ends after the longest silence of a target that works. By reading: an end without a body counts as heard, and what a target says it didn't run is never relayed as a stream.

--- a/packages/gateway/include/fuchsialoom/gateway/silence_rules.h
+++ b/packages/gateway/include/fuchsialoom/gateway/silence_rules.h
@@ -16,6 +16,7 @@
 /// Whether a second attempt may be made beside one whose target is silent.
 enum class takeover_verdict {
     Possible,
+    NotNeeded, ///< the attempt isn't silent, or its successor isn't
     NotRepeatable, ///< the request must not run twice
     NoAttemptsLeft, ///< the route allows no further target
     NoBudget, ///< the shared retry budget is spent
@@ -29,6 +30,7 @@
 {
     static constexpr auto entries = std::to_array<enum_name<takeover_verdict>>({
         {takeover_verdict::Possible, "possible"},
+        {takeover_verdict::NotNeeded, "not-needed"},
         {takeover_verdict::NotRepeatable, "not-repeatable"},
         {takeover_verdict::NoAttemptsLeft, "no-attempts-left"},
         {takeover_verdict::NoBudget, "no-budget"},
@@ -51,7 +53,7 @@
 /// From when on an attempt for \p matched counts as silent if no byte follows the one at \p lastByteAt.
 instant stalledFrom(const route &matched, bool hasStarted, instant lastByteAt);
 
-/// Longer than a target that works is silent, which is 3 s and the time since its last byte. After it, the connection may have been lost
+/// Targets that work are silent for up to 3 s. After this time, the connection may have been lost
 /// without a reset: the attempt no longer counts as using a slot, and a stream may resume at the same target on another connection.
 inline constexpr milliseconds longestPause{4000};
 
--- a/packages/gateway/lib/exchange.cpp
+++ b/packages/gateway/lib/exchange.cpp
@@ -134,15 +134,22 @@
     return presented.problem == key_problem::None ? std::to_string(presented.key.prefix()) : std::string();
 }
 
+lane_key exchange::sharedLane() const
+{
+    lane_key lane;
+    lane.kind = m_isEngine ? target_kind::Engine : target_kind::Plain;
+    lane.serves = m_service.text();
+    if (m_isEngine) {
+        lane.serves.append("/").append(m_facts.model.text()).append("/").append(m_facts.adapter.text());
+    }
+    return lane;
+}
+
 queued_request exchange::queueEntry() const
 {
     queued_request entry;
     entry.id = m_serial;
-    entry.lane.kind = m_isEngine ? target_kind::Engine : target_kind::Plain;
-    entry.lane.serves = m_service.text();
-    if (m_isEngine) {
-        entry.lane.serves.append("/").append(m_facts.model.text()).append("/").append(m_facts.adapter.text());
-    }
+    entry.lane = sharedLane();
     if (!m_triedTargets.empty() || m_trial) {
         entry.lane.alone = m_serial;
     }
--- a/packages/gateway/lib/exchange.h
+++ b/packages/gateway/lib/exchange.h
@@ -25,7 +25,10 @@
     void start();
 
     /// Makes a second attempt beside a silent one, if another target has room and may take the request over.
-    void tryTakeover(instant now);
+    takeover_verdict tryTakeover(instant now);
+
+    /// Requests with equal keys can be served by the same targets.
+    lane_key sharedLane() const;
 
     /// Sends the request to \p target and counts it as in flight there until the attempt ends.
     void dispatch(const pool_target &target);
@@ -207,7 +210,7 @@
     std::uint32_t m_attemptNumber = 0; ///< of the latest attempt
     event_scanner m_eventScanner; ///< of the attempts that have ended; see scanner()
     takeover_verdict m_takeoverVerdict = takeover_verdict::Possible; ///< as last judged in the present silence
-    instant m_nextTakeoverAt{}; ///< earliest next try
+    instant m_nextTakeoverAt{}; ///< next look for a successor while nothing else prompts one
     instant m_firstEventAt{};
     instant m_paceSampleStart{}; ///< start of the current pace sample
     std::uint64_t m_paceSampleFirstEvent = 0; ///< event count at that time
--- a/packages/gateway/lib/exchange_attempts.cpp
+++ b/packages/gateway/lib/exchange_attempts.cpp
@@ -57,7 +57,8 @@
     if (m_attemptNumber == 0) {
         m_queueTime = loopNow() - m_arrivedAt;
     }
-    launch(m_attempt.emplace(), target);
+    m_attempt = attempt();
+    launch(*m_attempt, target);
 }
 
 void exchange::launch(attempt &one, const pool_target &target)
@@ -159,8 +160,9 @@
     onHeard(one);
     one.headReceived = true;
     one.head = head;
-    one.isSigned = m_gateway.m_dialect.readAnswer(head, one.target).signedByTarget;
-    one.relaysEvents = isStream() && head.status == 200 && one.isSigned;
+    const answer_facts facts = m_gateway.m_dialect.readAnswer(head, one.target);
+    one.isSigned = facts.signedByTarget;
+    one.relaysEvents = isStream() && head.status == 200 && facts.signedByTarget && !facts.notRun;
 }
 
 void exchange::onBody(attempt &one, std::string_view bytes)
@@ -242,6 +244,7 @@
 
 void exchange::onComplete(attempt &one)
 {
+    onHeard(one);
     const answer_facts facts = m_gateway.m_dialect.readAnswer(one.head, one.target);
     if (facts.displaced && m_gateway.m_pool.displace(loopNow(), one.target)) {
         m_gateway.m_log.write(loopNow(), log_line("target-displaced").with("target", one.target).with("by", "answer"));
--- a/packages/gateway/lib/exchange_silence.cpp
+++ b/packages/gateway/lib/exchange_silence.cpp
@@ -44,7 +44,10 @@
 void exchange::onSilence(instant now)
 {
     attempt &silent = *m_attempt;
-    m_gateway.m_pool.noteSilent(now, silent.target, silent.lastByteAt);
+    const bool mayBeLost = now >= silent.lastByteAt + longestPause;
+    if (!mayBeLost) {
+        m_gateway.m_pool.noteSilent(now, silent.target, silent.lastByteAt);
+    }
     if (!silent.isSilent) {
         silent.isSilent = true;
         m_takeoverVerdict = takeover_verdict::Possible;
@@ -53,11 +56,12 @@
         }
     }
     // A connection that was lost without a reset would keep the slot until the caller's deadline.
-    if (silent.usesSlot && now >= silent.lastByteAt + longestPause) {
+    if (silent.usesSlot && mayBeLost) {
         freeSlot(silent);
         m_gateway.notifyInFlightChanged();
         m_gateway.dispatchQueued();
     }
+    m_nextTakeoverAt = now + takeoverInterval;
     tryTakeover(now);
 }
 
@@ -87,13 +91,18 @@
     facts.isSuspected = isSuspectedNow(now);
     facts.endsInTime =
         m_streamStarted ? now < m_deadlines.callerDeadline : now < m_deadlines.queueDeadline && m_gateway.endsBeforeStop(now, *this);
-    return judgeTakeover(m_history, facts);
+    attempt_history history = m_history;
+    history.targetsTried += m_successor ? 1 : 0;
+    return judgeTakeover(history, facts);
 }
 
 const pool_target *exchange::chooseSuccessor(instant now)
 {
     const bool mayBeLost = now >= m_attempt->lastByteAt + longestPause;
-    const std::set<target_id> present{m_attempt->target};
+    std::set<target_id> present{m_attempt->target};
+    if (m_successor) {
+        present.insert(m_successor->target);
+    }
     target_query wanted = query();
     if (!wanted.tried && !mayBeLost) {
         wanted.tried = &present;
@@ -102,12 +111,12 @@
     return found && (mayBeLost || !found->isAvoided(now)) ? found : nullptr;
 }
 
-void exchange::tryTakeover(instant now)
+takeover_verdict exchange::tryTakeover(instant now)
 {
-    if (m_done || !m_attempt || !m_attempt->isSilent || m_successor || now < m_nextTakeoverAt) {
-        return;
+    if (m_done || !m_attempt || !m_attempt->isSilent
+        || (m_successor && now < stalledFrom(m_route, m_streamStarted, m_successor->lastByteAt))) {
+        return takeover_verdict::NotNeeded;
     }
-    m_nextTakeoverAt = now + takeoverInterval;
     takeover_verdict verdict = judgeTakeoverNow(now);
     const pool_target *target = verdict == takeover_verdict::Possible ? chooseSuccessor(now) : nullptr;
     if (verdict == takeover_verdict::Possible && !target) {
@@ -117,12 +126,19 @@
         logSilence(now);
     }
     if (!target) {
-        return;
+        return verdict;
+    }
+    if (m_successor) {
+        // Both are silent, and there is a third: the one that has been silent for longest is given up.
+        promoteSuccessor();
+        m_attempt->isSilent = true;
     }
     m_gateway.retryBudgetFor(m_service).countRetry(now);
     m_gateway.m_counters.retries += 1;
-    launch(m_successor.emplace(), *target);
+    m_successor = attempt();
+    launch(*m_successor, *target);
     m_gateway.notifyInFlightChanged();
+    return verdict;
 }
 
 void exchange::lead(const attempt &one)
@@ -135,6 +151,7 @@
     } else {
         dropSuccessor();
     }
+    m_gateway.dispatchQueued();
 }
 
 void exchange::promoteSuccessor()
@@ -151,7 +168,6 @@
     countAttemptEnd(silent, attempt_outcome::Silent);
     silent.link->close();
     release(silent);
-    m_gateway.dispatchQueued();
 }
 
 void exchange::dropSuccessor()
@@ -161,7 +177,6 @@
     countAttemptEnd(dropped, attempt_outcome::Silent);
     dropped.link->close();
     release(dropped);
-    m_gateway.dispatchQueued();
 }
 
 void exchange::leaveToOther(attempt &one)
@@ -190,6 +205,7 @@
     } else {
         dropSuccessor();
     }
+    m_gateway.dispatchQueued();
 }
 
 } // namespace fuchsialoom
--- a/packages/gateway/lib/gateway.cpp
+++ b/packages/gateway/lib/gateway.cpp
@@ -304,10 +304,12 @@
     if (m_queue.size() == 0) {
         return; // room that is there is found by the streams themselves
     }
+    std::set<lane_key> full;
     const auto silent = m_silentStreams;
     for (const auto &[serial, weak] : silent) {
-        if (const std::shared_ptr<exchange> ex = weak.lock()) {
-            ex->tryTakeover(now);
+        const std::shared_ptr<exchange> ex = weak.lock();
+        if (ex && !full.contains(ex->sharedLane()) && ex->tryTakeover(now) == takeover_verdict::NoTarget) {
+            full.insert(ex->sharedLane());
         }
     }
 }
