--- a/packages/gateway/lib/exchange.h
+++ b/packages/gateway/lib/exchange.h
@@ -161,7 +161,7 @@
     const pool_target *chooseSuccessor(instant now);
     void freeSlot(attempt &one);
     /// \p one has something for the caller: it is the only attempt from here on, as `m_attempt`.
-    void lead(const attempt &one);
+    void settleOn(const attempt &one);
     void promoteSuccessor();
     void dropSuccessor();
     /// The successor has had its time to refuse: the request goes on at one engine.
@@ -176,7 +176,7 @@
     /// Counts the end of \p one in the history and at its target.
     void countAttemptEnd(const attempt &one, attempt_outcome outcome);
     /// Ends \p one; the other attempt in progress becomes the leading one.
-    void leaveToOther(attempt &one);
+    void endBesideOther(attempt &one);
     void failRequest(int status, std::string_view reason);
     void onCallerGone();
     void armTimer();
--- a/packages/gateway/lib/exchange_attempts.cpp
+++ b/packages/gateway/lib/exchange_attempts.cpp
@@ -174,7 +174,7 @@
     }
     const std::string events = one.scanner.feed(bytes);
     if (!events.empty()) {
-        lead(one);
+        settleOn(one);
         onEvents(events);
     }
 }
@@ -267,7 +267,7 @@
         handleAttemptEnd(one, attempt_outcome::Failed);
     } else {
         m_gateway.m_pool.succeeded(loopNow(), one.target);
-        lead(one);
+        settleOn(one);
         relayWholeAnswer();
     }
 }
@@ -281,7 +281,7 @@
         onBrokenOff(one, nameOf(end), framing == answer_framing::Connection);
         return;
     }
-    lead(one);
+    settleOn(one);
     if (!events.empty()) {
         onEvents(events);
     }
@@ -399,7 +399,7 @@
                                      .with("step", step));
     switch (step) {
     case retry_step::LeaveToOther:
-        leaveToOther(one);
+        endBesideOther(one);
         return;
     case retry_step::TryElsewhere:
         if (outcome != attempt_outcome::NotSent) {
--- a/packages/gateway/lib/exchange_silence.cpp
+++ b/packages/gateway/lib/exchange_silence.cpp
@@ -141,7 +141,7 @@
     return verdict;
 }
 
-void exchange::lead(const attempt &one)
+void exchange::settleOn(const attempt &one)
 {
     if (!m_successor) {
         return;
@@ -179,7 +179,7 @@
     release(dropped);
 }
 
-void exchange::leaveToOther(attempt &one)
+void exchange::endBesideOther(attempt &one)
 {
     assert(m_attempt && m_successor);
     const bool successorEnded = &one == &*m_successor;
