A silent target is avoided whatever the clock read between two lines

The attempt took the time of a byte before the pool did, so the pool's could be later by a microsecond; noteSilent() then took the silent attempt's own last byte for one that another attempt had heard, and the silent target wasn't avoided: new requests went to it as to any other.

--- a/packages/gateway/lib/exchange_silence.cpp
+++ b/packages/gateway/lib/exchange_silence.cpp
@@ -14,9 +14,9 @@
 
 void exchange::onHeard(attempt &one)
 {
-    const instant now = loopNow();
-    const instant silentSince = std::exchange(one.lastByteAt, now);
     m_gateway.noteHeard(one.target);
+    const instant now = loopNow(); // not earlier than what the pool has: noteSilent() compares both
+    const instant silentSince = std::exchange(one.lastByteAt, now);
     if (!one.isSilent) {
         return;
     }
