--- a/packages/gateway/include/fuchsialoom/gateway/gateway.h
+++ b/packages/gateway/include/fuchsialoom/gateway/gateway.h
@@ -84,6 +84,21 @@
     });
 };
 
+/// Which VM found that a target's process is gone.
+enum class death_source {
+    Own,
+    Peer,
+};
+
+template<>
+struct name_table<death_source>
+{
+    static constexpr auto entries = std::to_array<enum_name<death_source>>({
+        {death_source::Own, "own"},
+        {death_source::Peer, "peer"},
+    });
+};
+
 struct gateway_options
 {
     vm_id vm;
@@ -275,7 +290,7 @@
     void onProbed(const target_id &target, probe_result result);
     /// Bytes of an attempt at \p target arrived. After a silence, they show that its process didn't die.
     void noteHeard(const target_id &target);
-    void reportDeath(const target_id &target);
+    void reportDeath(const target_id &target, death_source source);
     service_facts serviceFactsOf(const target_id &target) const;
     /// The request of \p ex ran to its end, or has run for a while, so it crashes no target.
     void acquit(const exchange &ex);
--- a/packages/gateway/lib/gateway.cpp
+++ b/packages/gateway/lib/gateway.cpp
@@ -202,7 +202,7 @@
 
 void gateway::noteUnreachable(const target_id &target)
 {
-    reportDeath(target);
+    reportDeath(target, death_source::Own);
     if (!m_pool.noteUnreachable(loopNow(), target)) {
         return;
     }
--- a/packages/gateway/lib/gateway_quarantine.cpp
+++ b/packages/gateway/lib/gateway_quarantine.cpp
@@ -29,7 +29,7 @@
         if (ex.m_trial) {
             trialBroke(fingerprint, target);
         }
-        reportDeath(target);
+        reportDeath(target, death_source::Own);
         return;
     }
     const auto [probed, isNew] = m_probed.try_emplace(target);
@@ -70,15 +70,15 @@
 void gateway::noteUnreachableElsewhere(const target_id &target)
 {
     m_pool.addResidencyChange(loopNow(), {target, {}, {}, false});
-    reportDeath(target);
+    reportDeath(target, death_source::Peer);
 }
 
-void gateway::reportDeath(const target_id &target)
+void gateway::reportDeath(const target_id &target, death_source source)
 {
     const bool isNew = !m_crashes.isKnownDead(target);
     const crash_news news = m_crashes.targetDied(loopNow(), target);
     if (isNew) {
-        m_log.write(loopNow(), log_line("target-died").with("target", target).with("accused", news.reports.size()));
+        m_log.write(loopNow(), log_line("target-died").with("target", target).with("by", source).with("accused", news.reports.size()));
     }
     for (const crash_report &report : news.reports) {
         m_log.write(loopNow(), log_line("request-accused").with("fingerprint", textOf(report.fingerprint)).with("target", report.target));
--- /dev/null
+++ b/tests/platform_path_test.cpp
@@ -0,0 +1,218 @@
+/// \file
+/// VMs that lose their path to all targets for a while, as their callers and the other VMs see it.
+#include "platform_world.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <chrono>
+#include <future>
+#include <map>
+#include <string>
+#include <thread>
+#include <tuple>
+#include <vector>
+
+namespace fuchsialoom
+{
+
+namespace
+{
+
+using std::chrono::steady_clock;
+
+/// What of failure domain "a", which has three VMs, is cut; domain "b" has one VM.
+enum class cut_share {
+    One,
+    Most,
+    All,
+};
+
+constexpr std::size_t domainVms = 3;
+/// From the cut until VMs have to serve their callers.
+constexpr std::chrono::milliseconds settling{1000};
+constexpr int deadlineMs = 3000;
+constexpr int firstTries = 40; ///< at each VM
+constexpr std::chrono::milliseconds pauseBetweenTries{25};
+
+class platform_path : public testing::Test
+{
+protected:
+    void start()
+    {
+        m_world.configure(platform_world::configurationOf(1, 2, true));
+        for (const char *id : {"e1", "e2"}) {
+            m_world.addTarget({.id = id, .service = "models", .models = {"m1", "m2"}, .eventPause = milliseconds(60), .slots = 40});
+        }
+        for (const char *id : {"p1", "p2"}) {
+            m_world.addTarget({.id = id, .service = "plain", .isEngine = false, .slots = 40});
+        }
+        for (std::size_t vm = 0; vm < domainVms; ++vm) {
+            m_vms.push_back(m_world.startVmOnPaths("a"));
+        }
+        m_vms.push_back(m_world.startVmOnPaths("b"));
+        for (const std::string &vm : m_vms) {
+            ASSERT_TRUE(m_world.waitReady(vm)) << m_world.vm(vm).wholeOutput();
+        }
+        std::this_thread::sleep_for(std::chrono::seconds(1)); // the VMs find each other
+        for (const std::string &vm : m_vms) {
+            // Leaves kept connections to the targets.
+            tryAt(vm, "warm-" + vm, 8);
+        }
+    }
+
+    void cut(cut_share share, path_state state)
+    {
+        const std::size_t count = share == cut_share::One ? 1 : share == cut_share::Most ? domainVms - 1 : domainVms;
+        m_cut.assign(m_vms.begin(), m_vms.begin() + static_cast<std::ptrdiff_t>(count));
+        for (const std::string &vm : m_cut) {
+            m_world.setPaths(vm, state);
+        }
+    }
+
+    void heal()
+    {
+        for (const std::string &vm : m_cut) {
+            m_world.setPaths(vm, path_state::Whole);
+        }
+    }
+
+    struct try_counts
+    {
+        int served = 0;
+        int sent = 0;
+        std::chrono::milliseconds slowest{0}; ///< of those that weren't served
+    };
+
+    /// Sends requests of all kinds to \p vm, one after the other without waiting for their answers.
+    try_counts tryAt(const std::string &vm, const std::string &prefix, int count)
+    {
+        std::vector<std::future<std::pair<bool, steady_clock::duration>>> answers;
+        for (int number = 0; number < count; ++number) {
+            platform_request request;
+            request.id = prefix + "-" + std::to_string(number);
+            static const std::vector<std::string> routes{"chat", "get", "post"};
+            const std::string &route = routes[static_cast<std::size_t>(number) % routes.size()];
+            request.path = "/" + route + "/" + request.id;
+            request.model = route == "chat" ? "m1" : "";
+            request.deadlineMs = deadlineMs;
+            answers.push_back(std::async(std::launch::async, [this, vm, request] {
+                const steady_clock::time_point sentAt = steady_clock::now();
+                const platform_answer answer = m_world.ask(vm, request);
+                return std::pair(answer.status == 200 && answer.complete, steady_clock::now() - sentAt);
+            }));
+            std::this_thread::sleep_for(pauseBetweenTries);
+        }
+        try_counts counts;
+        counts.sent = count;
+        for (auto &answer : answers) {
+            const auto [served, took] = answer.get();
+            counts.served += served ? 1 : 0;
+            if (!served) {
+                counts.slowest = std::max(counts.slowest, std::chrono::duration_cast<std::chrono::milliseconds>(took));
+            }
+        }
+        return counts;
+    }
+
+    std::vector<try_counts> tryAtAll(const std::vector<std::string> &vms, const std::string &prefix, int count)
+    {
+        std::vector<std::future<try_counts>> tries;
+        for (const std::string &vm : vms) {
+            tries.push_back(std::async(std::launch::async, [this, vm, prefix, count] {
+                return tryAt(vm, prefix + "-" + vm, count);
+            }));
+        }
+        std::vector<try_counts> counts;
+        for (auto &one : tries) {
+            counts.push_back(one.get());
+        }
+        return counts;
+    }
+
+    /// Non-idempotent requests that ran more than once, over all targets.
+    int doubleRuns()
+    {
+        std::map<std::string, int> runs;
+        m_world.call([&] {
+            for (const char *id : {"p1", "p2"}) {
+                for (const received_request &request : m_world.target(id).received()) {
+                    if (request.path().starts_with("/post/")) {
+                        runs[std::string(request.path())] += 1;
+                    }
+                }
+            }
+        });
+        return static_cast<int>(std::ranges::count_if(runs, [](const auto &entry) {
+            return entry.second > 1;
+        }));
+    }
+
+    platform_world m_world;
+    std::vector<std::string> m_vms;
+    std::vector<std::string> m_cut;
+};
+
+std::string nameOfShare(cut_share share)
+{
+    static const std::vector<std::string> names{"OneVm", "MostOfDomain", "AllOfDomain"};
+    return names.at(static_cast<std::size_t>(share));
+}
+
+class platform_path_cuts : public platform_path, public testing::WithParamInterface<std::tuple<path_state, cut_share>>
+{
+};
+
+} // namespace
+
+TEST_P(platform_path_cuts, firstTriesAreServedWithoutPath)
+{
+    const auto [state, share] = GetParam();
+    start();
+    cut(share, state);
+    std::this_thread::sleep_for(settling);
+    const std::vector<try_counts> counts = tryAtAll(m_vms, "cut", firstTries);
+    for (std::size_t vm = 0; vm < m_vms.size(); ++vm) {
+        // The platform asks for two thirds of what the other VMs serve; these serve everything.
+        EXPECT_GT(counts[vm].served * 4, counts[vm].sent * 3) << m_vms[vm] << (vm < m_cut.size() ? " cut" : "");
+    }
+    heal();
+    std::this_thread::sleep_for(std::chrono::seconds(2));
+    for (const try_counts &healed : tryAtAll(m_cut, "healed", firstTries)) {
+        EXPECT_EQ(healed.served, healed.sent);
+    }
+    EXPECT_EQ(doubleRuns(), 0);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    cuts,
+    platform_path_cuts,
+    testing::Combine(testing::Values(path_state::Silent, path_state::Reset, path_state::RefusingNew, path_state::OneWay),
+                     testing::Values(cut_share::One, cut_share::Most, cut_share::All)),
+    [](const auto &info) {
+        return std::string(nameOf(std::get<0>(info.param))) + nameOfShare(std::get<1>(info.param));
+    });
+
+class platform_path_refusals : public platform_path, public testing::WithParamInterface<path_state>
+{
+};
+
+TEST_P(platform_path_refusals, ofOneVmTakeNoTargetFromOthers)
+{
+    start();
+    cut(cut_share::One, GetParam());
+    const std::vector<try_counts> counts = tryAtAll(m_vms, "cut", firstTries);
+    for (std::size_t vm = 1; vm < m_vms.size(); ++vm) {
+        EXPECT_EQ(counts[vm].served, counts[vm].sent) << m_vms[vm];
+        const std::string output = m_world.vm(m_vms[vm]).wholeOutput();
+        for (const std::string event : {"event=target-died", "event=target-unreachable", "event=request-accused", "reason=suspected"}) {
+            EXPECT_EQ(output.find(event), std::string::npos) << m_vms[vm] << " " << event;
+        }
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(cuts, platform_path_refusals, testing::Values(path_state::Reset, path_state::RefusingNew), [](const auto &info) {
+    return std::string(nameOf(info.param));
+});
+
+} // namespace fuchsialoom
--- a/tests/platform_world.cpp
+++ b/tests/platform_world.cpp
@@ -146,18 +146,58 @@
     return name;
 }
 
-void platform_world::restartVm(const std::string &name)
-{
-    vm_entry &entry = m_vms.at(name);
-    entry.process = std::make_unique<child_process>(name, "tools/fuchsialoomd", std::vector<std::string>{"--config=" + entry.settingsPath});
-}
-
 static asio::ip::tcp::endpoint endpointOf(const std::string &address)
 {
     const std::size_t colon = address.find(':');
     return {asio::ip::make_address(address.substr(0, colon)), static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1)))};
 }
 
+target_path &platform_world::pathOf(const std::string &vm, const std::string &target)
+{
+    std::unique_ptr<target_path> &path = m_paths[{vm, target}];
+    if (!path) {
+        const std::string address = nlohmann::json::parse(m_targets.at(target)->entry())["addr"];
+        path = std::make_unique<target_path>(m_loop, endpointOf(address));
+        path->set(m_pathStates[vm]);
+    }
+    return *path;
+}
+
+std::string platform_world::startVmOnPaths(const std::string &domain)
+{
+    const std::string name = "vm-" + std::to_string(m_vms.size() + 1);
+    const std::uint16_t port = call([this, name] {
+        const auto view = m_store->addView([this, name](const std::string &topic, const std::string &key, const std::string &value) {
+            if (topic != "keyed.servers" || value.empty()) {
+                return value;
+            }
+            nlohmann::json entry = nlohmann::json::parse(value);
+            entry["addr"] = "127.0.0.1:" + std::to_string(pathOf(name, key).address().port());
+            return entry.dump();
+        });
+        return view.port();
+    });
+    return startVm(domain, port);
+}
+
+void platform_world::setPaths(const std::string &vm, path_state state)
+{
+    call([&] {
+        m_pathStates[vm] = state;
+        for (const auto &[key, path] : m_paths) {
+            if (key.first == vm) {
+                path->set(state);
+            }
+        }
+    });
+}
+
+void platform_world::restartVm(const std::string &name)
+{
+    vm_entry &entry = m_vms.at(name);
+    entry.process = std::make_unique<child_process>(name, "tools/fuchsialoomd", std::vector<std::string>{"--config=" + entry.settingsPath});
+}
+
 bool platform_world::isReady(const std::string &name)
 {
     try {
--- a/tests/platform_world.h
+++ b/tests/platform_world.h
@@ -5,6 +5,7 @@
 #include "child_process.h"
 #include "fake_store.h"
 #include "fake_target.h"
+#include "target_path.h"
 
 #include <asio.hpp>
 #include <nlohmann/json.hpp>
@@ -15,6 +16,7 @@
 #include <memory>
 #include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 namespace fuchsialoom
@@ -101,6 +103,10 @@
 
     /// Starts a VM. \return its name. \p storePort: of a forwarder to the store; the store's own unless given.
     std::string startVm(const std::string &domain = "a", std::uint16_t storePort = 0);
+    /// Starts a VM that reaches each target by a path of its own. \return its name.
+    std::string startVmOnPaths(const std::string &domain = "a");
+    /// Sets the paths of a VM of startVmOnPaths() to all targets, also to later ones.
+    void setPaths(const std::string &vm, path_state state);
     /// Starts the VM \p name again, which has ended.
     void restartVm(const std::string &name);
     child_process &vm(const std::string &name)
@@ -170,11 +176,15 @@
         nlohmann::json settings;
     };
 
+    target_path &pathOf(const std::string &vm, const std::string &target);
+
     asio::io_context m_loop; ///< of the stand-ins
     asio::io_context m_callers; ///< of the callers' sockets, which block
     asio::executor_work_guard<asio::io_context::executor_type> m_work;
     std::unique_ptr<fake_store> m_store;
     std::map<std::string, std::unique_ptr<fake_target>> m_targets;
+    std::map<std::pair<std::string, std::string>, std::unique_ptr<target_path>> m_paths; ///< by VM and target
+    std::map<std::string, path_state> m_pathStates; ///< by VM
     std::map<std::string, vm_entry> m_vms;
     nlohmann::json m_teams;
     std::function<void(nlohmann::json &)> m_edit;
