A VM without a path to the targets passes its callers' requests on to other VMs

Cause: a VM judged each target by itself and never its own path. Each request waited for up to four connections of 250 ms and was then refused, or hung on a kept connection; and a target that refused one VM counted as dead, and its requests as accused, at all VMs. Change: path_watch tells a target that is out of reach from a VM that is, by connections to several other targets after one that failed, or after 300 ms without a byte from any. While its path is lost a VM passes requests on to another VM, once, by HTTP at the peers' address, with their age, the attempts that are left, whether their team has paid, the configuration and the last event; attempts without a connection follow at once, silent ones get a successor there under the usual rules. A VM that can't serve them declines with 421. Refused connections and broken trials count only once another target has shown that the path is whole. A VM without a path gives up the duty. The test of a target that exits inside its first event had no other target alive, in which case nothing tells a death from a lost path; it has one now.

--- a/packages/fleet/include/fuchsialoom/fleet/fleet_node.h
+++ b/packages/fleet/include/fuchsialoom/fleet/fleet_node.h
@@ -134,6 +134,9 @@
     const vm_record *servingRelay(instant now) const;
     /// Other relays that are within their suspect timeout.
     std::vector<vm_record> liveRelays() const;
+    /// Other VMs that may serve requests of this one: those that are heard or, where this VM hears few of the fleet itself, all that have
+    /// registered, some of which may have ended.
+    std::vector<vm_record> servingPeers() const;
     std::size_t memberCount() const
     {
         return m_members.size();
--- a/packages/fleet/include/fuchsialoom/fleet/membership_view.h
+++ b/packages/fleet/include/fuchsialoom/fleet/membership_view.h
@@ -32,6 +32,11 @@
     bool put(vm_record record);
 
     const vm_record *find(const vm_id &vm) const;
+    /// All registered VMs, also those that have ended.
+    const std::map<vm_id, vm_record> &records() const
+    {
+        return m_records;
+    }
     std::size_t size() const
     {
         return m_records.size();
--- a/packages/fleet/lib/fleet_node.cpp
+++ b/packages/fleet/lib/fleet_node.cpp
@@ -452,6 +452,27 @@
     return live;
 }
 
+std::vector<vm_record> fleet_node::servingPeers() const
+{
+    std::vector<vm_record> heard = liveRelays();
+    for (const auto &[vm, member] : m_members) {
+        if (const vm_record *record = m_membership.find(vm)) {
+            heard.push_back(*record);
+        }
+    }
+    if (m_relaySelection.isRelay() && 2 * (heard.size() + 1) >= m_membership.size()) {
+        return heard;
+    }
+    std::vector<vm_record> registered;
+    for (const auto &[vm, record] : m_membership.records()) {
+        const auto relay = m_relays.find(vm);
+        if (vm != m_self.vm && (relay == m_relays.end() || relay->second.live)) {
+            registered.push_back(record);
+        }
+    }
+    return registered;
+}
+
 std::optional<std::size_t> fleet_node::dutyRank() const
 {
     if (!m_relaySelection.isRelay()) {
--- a/packages/gateway/include/fuchsialoom/gateway/connection_pool.h
+++ b/packages/gateway/include/fuchsialoom/gateway/connection_pool.h
@@ -29,6 +29,9 @@
     /// Closes the idle connections to \p target.
     void closeIdle(const target_id &target);
 
+    /// Closes the idle connections to all targets.
+    void closeAllIdle();
+
     /// Connections made so far.
     std::uint64_t made() const
     {
--- a/packages/gateway/include/fuchsialoom/gateway/duty_lease.h
+++ b/packages/gateway/include/fuchsialoom/gateway/duty_lease.h
@@ -121,6 +121,9 @@
         return m_end;
     }
 
+    /// Ends this VM's term as holder, if it is one, as if the lease had expired.
+    void yield(instant now);
+
     /// Gives up the duty permanently, with a release record if this VM holds it.
     void release(instant now);
 
--- a/packages/gateway/include/fuchsialoom/gateway/gateway.h
+++ b/packages/gateway/include/fuchsialoom/gateway/gateway.h
@@ -11,6 +11,9 @@
 #include "fuchsialoom/gateway/crash_evidence.h"
 #include "fuchsialoom/gateway/decision_log.h"
 #include "fuchsialoom/gateway/drain_rules.h"
+#include "fuchsialoom/gateway/passed_on.h"
+#include "fuchsialoom/gateway/path_watch.h"
+#include "fuchsialoom/gateway/peer_choice.h"
 #include "fuchsialoom/gateway/request_facts.h"
 #include "fuchsialoom/gateway/retry_rules.h"
 #include "fuchsialoom/gateway/routes.h"
@@ -47,6 +50,7 @@
     TimedOut, ///< its deadline passed while it was queued
     TargetsRefused,
     Draining,
+    NoPath, ///< this VM reaches no target, and no other VM takes the request
     ConfigurationBehind, ///< the request's key or route isn't known here, and another VM has a newer configuration
     Quarantined, ///< it crashed the targets that ran it
     Suspected, ///< it was at several deaths of targets, and may run again, alone, after a while
@@ -64,6 +68,7 @@
         {refusal::TimedOut, "timed-out"},
         {refusal::TargetsRefused, "targets-refused"},
         {refusal::Draining, "draining"},
+        {refusal::NoPath, "no-path"},
         {refusal::ConfigurationBehind, "configuration-behind"},
         {refusal::Quarantined, "quarantined"},
         {refusal::Suspected, "suspected"},
@@ -140,6 +145,15 @@
     std::uint64_t failed = 0;
     std::uint64_t abandoned = 0;
     std::uint64_t retries = 0;
+    std::uint64_t passedOn = 0; ///< sent to other VMs
+    std::uint64_t takenOver = 0; ///< received from other VMs
+};
+
+/// A target that couldn't be reached, as long as it isn't known whether the VM's own path is the cause.
+struct unconfirmed_failure
+{
+    bool isRefused = false;
+    std::set<content_hash> trials; ///< that broke off there
 };
 
 class gateway
@@ -150,6 +164,9 @@
 
     /// Handles a complete request received on \p caller.
     void submit(const std::shared_ptr<caller_link> &caller, received_request request);
+    /// The same for a request that another VM passed on, which is passed on no further: if this VM can't send it to a target, the
+    /// answer is statusDeclined.
+    void submitPassedOn(const std::shared_ptr<caller_link> &peer, received_request request, const passed_on_mark &mark);
 
     /// Applies \p configuration if its version is newer than the current one. \return whether it was applied.
     bool configure(gateway_configuration configuration);
@@ -215,8 +232,26 @@
     {
         m_onUnreachable = std::move(callback);
     }
-    /// Records that the host of \p target refused a connection.
-    void noteUnreachable(const target_id &target);
+
+    /// \name The path to the targets: see path_watch.
+    /// @{
+    /// Looks for signs that the path is lost or back; to be called periodically.
+    void watchPath();
+    bool isPathLost() const
+    {
+        return m_paths.isLost();
+    }
+    /// Whether requests go to other VMs, since this one has no path.
+    bool passesOn() const
+    {
+        return m_paths.isLost() && !m_servingPeers.empty();
+    }
+    /// Sets the VMs that may serve requests of this one.
+    void setServingPeers(std::vector<serving_peer> peers)
+    {
+        m_servingPeers = std::move(peers);
+    }
+    /// @}
 
     /// \name Requests that crash targets.
     /// @{
@@ -285,6 +320,20 @@
     /// Lets silent streams look for a successor before queued requests take the room.
     void tryTakeovers(instant now);
     void armQueueTimer();
+    /// Records the end of a connection attempt at \p target.
+    void noteConnect(const target_id &target, connect_result result);
+    void applyPathChange(path_change change);
+    void onPathLost();
+    void probePath();
+    /// What failed before is out of reach for its own reasons: tells the others of targets that refused, and counts broken trials.
+    void confirmSuspects();
+    /// Sends queued request \p ex to another VM, or ends it. \return whether it left the queue.
+    bool passOn(exchange &ex);
+    std::optional<serving_peer> choosePeer();
+    /// Whether this VM takes one more request that another one passes on.
+    bool takesPassedOn(const passed_on_mark &mark) const;
+    /// Records that the host of \p target refused a connection, and that it wasn't this VM's path.
+    void noteUnreachable(const target_id &target);
     /// The connection of an attempt broke before the request was known to run: finds out whether the target died.
     void attemptBroke(const exchange &ex, const target_id &target);
     void onProbed(const target_id &target, probe_result result);
@@ -319,6 +368,14 @@
     connection_pool m_links;
     crash_evidence m_crashes;
     std::map<target_id, std::set<content_hash>> m_probed; ///< targets with an open probe, and the trials that broke off there
+    path_watch m_paths;
+    std::map<target_id, unconfirmed_failure> m_unconfirmed; ///< until the path is known to be whole or lost
+    asio::steady_timer m_pathTimer;
+    instant m_pathTimerAt = farFuture;
+    connection_pool m_peerLinks; ///< by the name of the VM
+    peer_choice m_peerChoice;
+    std::vector<serving_peer> m_servingPeers;
+    std::size_t m_passedOnOpen = 0; ///< requests of other VMs in progress
     suspect_trials m_trials;
     std::uint64_t m_quarantineRefusals = 0;
     std::uint64_t m_suspectRefusals = 0;
--- a/packages/gateway/include/fuchsialoom/gateway/residency_controller.h
+++ b/packages/gateway/include/fuchsialoom/gateway/residency_controller.h
@@ -46,6 +46,9 @@
     /// a rank never claims it.
     void setSuccessionRank(std::optional<std::size_t> rank);
 
+    /// Ends a term that this VM can't use, so that another VM takes the duty over.
+    void yield();
+
     /// Gives up the lease permanently. \return whether the release record is still being written.
     bool release();
     bool isReleased() const
--- a/packages/gateway/lib/connection_pool.cpp
+++ b/packages/gateway/lib/connection_pool.cpp
@@ -2,6 +2,8 @@
 /// Implements the pool of connections to targets.
 #include "fuchsialoom/gateway/connection_pool.h"
 
+#include <utility>
+
 namespace fuchsialoom
 {
 
@@ -56,6 +58,15 @@
     m_idle.erase(found);
 }
 
+void connection_pool::closeAllIdle()
+{
+    for (const auto &[target, links] : std::exchange(m_idle, {})) {
+        for (const std::shared_ptr<http_link> &link : links) {
+            link->close();
+        }
+    }
+}
+
 std::size_t connection_pool::idle() const
 {
     std::size_t count = 0;
--- a/packages/gateway/lib/duty_lease.cpp
+++ b/packages/gateway/lib/duty_lease.cpp
@@ -211,6 +211,13 @@
     return renounced_fence{*m_ownRenouncedFence, elapsedTurnTime(now)};
 }
 
+void duty_lease::yield(instant now)
+{
+    if (m_state == state::Holding) {
+        expireLease(now);
+    }
+}
+
 void duty_lease::release(instant now)
 {
     if (m_state != state::Holding) {
--- a/packages/gateway/lib/exchange.cpp
+++ b/packages/gateway/lib/exchange.cpp
@@ -22,22 +22,25 @@
 static constexpr int statusRefused = 503;
 static constexpr int statusTimedOut = 504;
 
-exchange::exchange(gateway &parent, std::shared_ptr<caller_link> caller, received_request request)
+exchange::exchange(gateway &parent, std::shared_ptr<caller_link> caller, received_request request, std::optional<passed_on_mark> passedOn)
     : m_gateway(parent)
     , m_caller(std::move(caller))
     , m_request(std::move(request))
     , m_facts(parent.m_dialect.readRequest(m_request))
     , m_serial(std::to_string(++parent.m_serial))
-    , m_arrivedAt(loopNow())
+    , m_arrivedAt(loopNow() - (passedOn ? passedOn->age : milliseconds(0)))
+    , m_passedOn(passedOn)
     , m_timer(parent.m_loop)
 {
     parent.m_openCount += 1;
+    parent.m_passedOnOpen += m_passedOn ? 1 : 0;
     parent.m_counters.requests += 1;
 }
 
 exchange::~exchange()
 {
     m_gateway.m_openCount -= 1;
+    m_gateway.m_passedOnOpen -= m_passedOn ? 1 : 0;
 }
 
 void exchange::start()
@@ -46,11 +49,15 @@
     m_caller->onGone([self] {
         self->onCallerGone();
     });
+    if (m_passedOn && !m_gateway.takesPassedOn(*m_passedOn)) {
+        decline();
+        return;
+    }
     if (!m_gateway.isConfigured()) {
         refuse(refusal::NotConfigured, std::nullopt);
         return;
     }
-    if (!m_gateway.m_stopPlan.acceptsNew(m_arrivedAt)) {
+    if (!m_passedOn && !m_gateway.m_stopPlan.acceptsNew(m_arrivedAt)) {
         refuse(refusal::Draining, milliseconds(0));
         return;
     }
@@ -81,7 +88,8 @@
         refuse(refusal::Draining, milliseconds(0));
         return;
     }
-    if (!chargeTeam() || endIfSuspected()) {
+    // Another VM charges the team, and knows the suspects as well.
+    if (!leavesToPeer() && (!chargeTeam() || endIfSuspected())) {
         return;
     }
     m_gateway.enqueue(self);
@@ -114,7 +122,7 @@
     const milliseconds callerTimeout = std::max(milliseconds(0), m_facts.callerTimeout.value_or(defaultCallerTimeout) - callerNetworkDelay);
     m_deadlines = computeDeadlines(m_route, m_arrivedAt, callerTimeout);
     m_history.repeatable = m_route.isRepeatable();
-    m_history.attempts = std::max(1U, m_route.attempts);
+    m_history.attempts = std::max(1U, m_passedOn ? std::min(m_route.attempts, m_passedOn->attempts) : m_route.attempts);
 }
 
 content_hash exchange::fingerprint() const
@@ -332,6 +340,9 @@
         line.with("team", m_team->text()).with("cost", std::to_string(m_cost));
     }
     line.with("target", m_attempt ? m_attempt->target.text() : std::string());
+    if (m_attempt && m_attempt->peer) {
+        line.with("peer", m_attempt->peer->text());
+    }
     line.with("status", std::to_string(m_attempt ? m_attempt->head.status : 0));
     if (m_attempt && m_attempt->headReceived) {
         line.with("framing", nameOf(m_attempt->head.framing));
@@ -356,7 +367,7 @@
     if (result == "answered") {
         m_gateway.m_counters.answered += 1;
         m_gateway.acquit(*this);
-        if (m_attemptNumber == 1) {
+        if (m_attemptNumber == 1 && !m_needsPeer) {
             recordRun();
         }
     }
@@ -370,7 +381,8 @@
 
 instant exchange::stallDeadline() const
 {
-    return m_attempt ? stalledFrom(m_route, m_streamStarted, m_attempt->lastByteAt) : farFuture;
+    // A peer sees itself to targets that are silent.
+    return m_attempt && !m_attempt->peer ? stalledFrom(m_route, m_streamStarted, m_attempt->lastByteAt) : farFuture;
 }
 
 void exchange::armTimer()
@@ -379,7 +391,8 @@
         return;
     }
     const instant end = m_streamStarted ? m_deadlines.callerDeadline : m_deadlines.answerDeadline;
-    const instant silenceCheck = std::max(stallDeadline(), m_nextTakeoverAt);
+    const bool isSilent = m_attempt && m_attempt->isSilent;
+    const instant silenceCheck = isSilent ? m_nextTakeoverAt : std::max(stallDeadline(), m_nextTakeoverAt);
     const instant next = std::max(std::min({end, silenceCheck, handoverDeadline()}), loopNow() + milliseconds(1));
     const auto self = shared_from_this();
     m_timer.expires_at(std::chrono::steady_clock::time_point(next.time_since_epoch()));
@@ -401,7 +414,7 @@
     if (now >= handoverDeadline()) {
         onHandoverDue();
     }
-    if (now >= stallDeadline()) {
+    if (now >= stallDeadline() || (m_attempt && m_attempt->isSilent && now >= m_nextTakeoverAt)) {
         onSilence(now);
     }
     armTimer();
--- a/packages/gateway/lib/exchange.h
+++ b/packages/gateway/lib/exchange.h
@@ -18,7 +18,8 @@
 class exchange : public std::enable_shared_from_this<exchange>
 {
 public:
-    exchange(gateway &parent, std::shared_ptr<caller_link> caller, received_request request);
+    /// \p passedOn: set if another VM passed the request on.
+    exchange(gateway &parent, std::shared_ptr<caller_link> caller, received_request request, std::optional<passed_on_mark> passedOn);
     ~exchange();
 
     /// Queues the request or answers it, as the current configuration says.
@@ -35,6 +36,24 @@
 
     void refuse(refusal why, std::optional<milliseconds> retryAfter);
 
+    /// \name Passing on between VMs: see exchange_peers.cpp.
+    /// @{
+    bool isPassedOn() const
+    {
+        return m_passedOn.has_value();
+    }
+    /// Whether the request goes to another VM instead of a target.
+    bool leavesToPeer() const;
+    void passOn(const serving_peer &peer);
+    /// Answers the VM that passed the request on that this one doesn't take it.
+    void decline();
+    /// Ends the request, since neither a target nor another VM can be reached.
+    void endWithoutPath(refusal why, milliseconds retryAfter);
+    /// This VM's path to the targets is lost: attempts without a connection end, and one that wasn't heard since \p heardSince looks
+    /// for a successor.
+    void onPathLost(instant heardSince);
+    /// @}
+
     /// Ends the request if it is one that crashes targets. \return whether it did.
     bool endIfQuarantined();
 
@@ -76,7 +95,8 @@
     struct attempt
     {
         std::uint32_t number = 0; ///< of this request's attempts; callbacks name it
-        target_id target;
+        target_id target; ///< empty if it was passed on to `peer`
+        std::optional<vm_id> peer;
         std::shared_ptr<http_link> link;
         event_scanner scanner; ///< continues that of the attempt before
         bool isSigned = false; ///< the target itself signed the answer
@@ -119,6 +139,12 @@
         return m_route.kind == request_kind::Stream;
     }
     std::string serializeRequest(const attempt &one) const;
+    std::string serializeForPeer(const attempt &one) const;
+    /// The request with \p headers, which have no framing.
+    std::string serializeWith(const header_list &headers) const;
+    void launchAtPeer(attempt &one, const serving_peer &peer);
+    /// The answer of the VM that the request was passed on to is complete.
+    void onPeerAnswer(attempt &one);
     /// Sends the request to \p target as attempt \p one, which is new.
     void launch(attempt &one, const pool_target &target);
     link_events callbacksForAttempt(std::uint32_t number);
@@ -204,6 +230,8 @@
     request_deadlines m_deadlines{};
     bool m_late = false; ///< queued behind the requests that can still meet their objective
     attempt_history m_history;
+    std::optional<passed_on_mark> m_passedOn; ///< set if another VM passed the request on; then it is passed on no further
+    bool m_needsPeer = false; ///< this VM reaches none of the targets that could serve the request
     std::set<target_id> m_triedTargets;
     std::optional<attempt> m_attempt; ///< the leading one; only its answer is relayed
     std::optional<attempt> m_successor; ///< only beside m_attempt, while that is or was silent, and at another target
--- a/packages/gateway/lib/exchange_admission.cpp
+++ b/packages/gateway/lib/exchange_admission.cpp
@@ -67,7 +67,7 @@
 
 bool exchange::chargeTeam()
 {
-    if (!m_team || m_team->empty()) {
+    if (!m_team || m_team->empty() || (m_passedOn && m_passedOn->isCharged)) {
         return true;
     }
     const team *payer = m_gateway.m_teams.find(*m_team);
--- a/packages/gateway/lib/exchange_attempts.cpp
+++ b/packages/gateway/lib/exchange_attempts.cpp
@@ -34,6 +34,9 @@
     facts.urgency = m_route.rank;
     facts.isEngine = m_isEngine;
     facts.resumeAfter = one.scanner.lastId();
+    if (!facts.resumeAfter && m_passedOn) {
+        facts.resumeAfter = m_passedOn->resumeAfter;
+    }
     facts.team = m_team;
 
     header_list headers = m_request.headers;
@@ -41,7 +44,11 @@
     headers.erase("Content-Length");
     headers.erase("Expect");
     m_gateway.m_dialect.writeAttempt(headers, facts);
+    return serializeWith(headers);
+}
 
+std::string exchange::serializeWith(const header_list &headers) const
+{
     std::string bytes = m_request.method + ' ' + m_request.target + " HTTP/1.1\r\n";
     appendFields(bytes, headers);
     if (!m_request.body.empty() || m_request.method == "POST" || m_request.method == "PUT") {
@@ -132,6 +139,13 @@
         }
         return facts.answers == self->m_facts.id;
     };
+    events.mayWrite = [self, number] {
+        const attempt *one = self->findAttempt(number);
+        if (one && !one->peer) {
+            self->m_gateway.noteConnect(one->target, connect_result::Connected);
+        }
+        return true;
+    };
     events.onHead = [self, number](const answer_head &head) {
         if (attempt *one = self->findAttempt(number)) {
             self->onHead(*one, head);
@@ -245,6 +259,10 @@
 void exchange::onComplete(attempt &one)
 {
     onHeard(one);
+    if (one.peer) {
+        onPeerAnswer(one);
+        return;
+    }
     const answer_facts facts = m_gateway.m_dialect.readAnswer(one.head, one.target);
     if (facts.displaced && m_gateway.m_pool.displace(loopNow(), one.target)) {
         m_gateway.m_log.write(loopNow(), log_line("target-displaced").with("target", one.target).with("by", "answer"));
@@ -325,10 +343,12 @@
         return;
     }
     logBreak(one, nameOf(how));
-    if (how == link_failure::Refused) {
-        m_gateway.noteUnreachable(one.target);
+    if (one.peer) {
+        m_gateway.m_peerChoice.avoid(loopNow(), *one.peer);
+    } else if (how != link_failure::Withdrawn) {
+        m_gateway.noteConnect(one.target, how == link_failure::Refused ? connect_result::Refused : connect_result::NoAnswer);
+        m_gateway.m_pool.avoid(loopNow(), one.target, unreachableAvoidance);
     }
-    m_gateway.m_pool.avoid(loopNow(), one.target, unreachableAvoidance);
     handleAttemptEnd(one, attempt_outcome::NotSent);
 }
 
@@ -353,7 +373,7 @@
     const instant now = loopNow();
     m_gateway.m_log.writeRequest(now,
                                  log_line("attempt-broke", m_facts.id)
-                                     .with("target", one.target)
+                                     .with("target", one.peer ? one.peer->text() : one.target.text())
                                      .with("how", how)
                                      .with("head", one.headReceived ? "yes" : "no")
                                      .with("framing", one.headReceived ? nameOf(one.head.framing) : "none")
@@ -410,6 +430,13 @@
         m_gateway.enqueue(shared_from_this());
         return;
     case retry_step::Refuse:
+        if (outcome == attempt_outcome::NotSent && !m_needsPeer && !m_passedOn) {
+            m_needsPeer = true;
+            m_history.connectFailures = 0;
+            endAttempts();
+            m_gateway.enqueue(shared_from_this());
+            return;
+        }
         refuse(refusal::TargetsRefused, retryAfterRefusal);
         return;
     case retry_step::PassOn:
@@ -423,6 +450,11 @@
 
 void exchange::release(attempt &one)
 {
+    if (one.peer) {
+        m_gateway.m_peerChoice.end(*one.peer);
+        m_gateway.m_peerLinks.release(target_id(one.peer->text()), one.link);
+        return;
+    }
     freeSlot(one);
     m_gateway.notifyInFlightChanged();
     m_gateway.m_links.release(one.target, one.link);
--- a/packages/gateway/lib/exchange_silence.cpp
+++ b/packages/gateway/lib/exchange_silence.cpp
@@ -14,7 +14,9 @@
 
 void exchange::onHeard(attempt &one)
 {
-    m_gateway.noteHeard(one.target);
+    if (!one.peer) {
+        m_gateway.noteHeard(one.target);
+    }
     const instant now = loopNow(); // not earlier than what the pool has: noteSilent() compares both
     const instant silentSince = std::exchange(one.lastByteAt, now);
     if (!one.isSilent) {
@@ -118,14 +120,16 @@
         return takeover_verdict::NotNeeded;
     }
     takeover_verdict verdict = judgeTakeoverNow(now);
-    const pool_target *target = verdict == takeover_verdict::Possible ? chooseSuccessor(now) : nullptr;
-    if (verdict == takeover_verdict::Possible && !target) {
+    const bool isPossible = verdict == takeover_verdict::Possible;
+    const std::optional<serving_peer> peer = isPossible && leavesToPeer() ? m_gateway.choosePeer() : std::nullopt;
+    const pool_target *target = isPossible && !leavesToPeer() ? chooseSuccessor(now) : nullptr;
+    if (isPossible && !target && !peer) {
         verdict = takeover_verdict::NoTarget;
     }
-    if (verdict != std::exchange(m_takeoverVerdict, verdict) || target) {
+    if (verdict != std::exchange(m_takeoverVerdict, verdict) || target || peer) {
         logSilence(now);
     }
-    if (!target) {
+    if (!target && !peer) {
         return verdict;
     }
     if (m_successor) {
@@ -136,7 +140,11 @@
     m_gateway.retryBudgetFor(m_service).countRetry(now);
     m_gateway.m_counters.retries += 1;
     m_successor = attempt();
-    launch(*m_successor, *target);
+    if (peer) {
+        launchAtPeer(*m_successor, *peer);
+    } else {
+        launch(*m_successor, *target);
+    }
     m_gateway.notifyInFlightChanged();
     return verdict;
 }
--- a/packages/gateway/lib/gateway.cpp
+++ b/packages/gateway/lib/gateway.cpp
@@ -22,6 +22,9 @@
     , m_pool(m_options.domain)
     , m_links(loop)
     , m_crashes(m_options.quarantineLength)
+    , m_pathTimer(loop)
+    , m_peerLinks(loop)
+    , m_peerChoice(m_options.domain)
     , m_trials(m_options.seed)
     , m_queueTimer(loop)
     , m_random(m_options.seed)
@@ -153,7 +156,8 @@
 
 void gateway::submit(const std::shared_ptr<caller_link> &caller, received_request request)
 {
-    const auto ex = std::make_shared<exchange>(*this, caller, std::move(request));
+    takeMark(request.headers); // only other VMs may send one
+    const auto ex = std::make_shared<exchange>(*this, caller, std::move(request), std::nullopt);
     m_openExchanges.emplace(ex->serial(), ex);
     ex->start();
 }
@@ -163,9 +167,12 @@
     const request_facts &facts = ex->facts();
     if (!ex->m_countedInDemand) {
         ex->m_countedInDemand = true;
-        retryBudgetFor(ex->m_service).countRequest(loopNow());
         model_demand &demand = m_demand[facts.model];
-        demand.arrivals += 1;
+        if (!ex->isPassedOn()) {
+            // Its first VM counts it.
+            retryBudgetFor(ex->m_service).countRequest(loopNow());
+            demand.arrivals += 1;
+        }
         if (!facts.adapter.empty()) {
             demand.adapters[facts.adapter].askedAt = loopNow();
         }
@@ -214,6 +221,9 @@
 
 pool_verdict gateway::tryDispatch(exchange &ex)
 {
+    if (m_paths.isLost() || ex.m_needsPeer) {
+        return passOn(ex) ? pool_verdict::Chosen : pool_verdict::NoTarget;
+    }
     const target_query query = ex.query();
     const target_choice choice = m_pool.choose(loopNow(), query, m_random());
     if (choice.target) {
@@ -275,10 +285,10 @@
                 ex->abortForShutdown();
                 continue;
             }
-            if (ex->endIfQuarantined() || ex->endIfSuspected()) {
+            if (ex->endIfQuarantined() || (!ex->leavesToPeer() && ex->endIfSuspected())) {
                 continue;
             }
-            if (ex->m_trial && !m_trials.isSettled(now, *ex->m_trial)) {
+            if (!ex->leavesToPeer() && ex->m_trial && !m_trials.isSettled(now, *ex->m_trial)) {
                 blocked.insert(ex->queueEntry().lane);
                 continue;
             }
--- a/packages/gateway/lib/gateway_quarantine.cpp
+++ b/packages/gateway/lib/gateway_quarantine.cpp
@@ -48,19 +48,19 @@
     const auto trials = m_probed.extract(target);
     if (result == probe_result::Listening) {
         m_crashes.targetAnswered(target);
+        noteConnect(target, connect_result::Connected);
         return;
     }
-    for (const content_hash fingerprint : trials.mapped()) {
-        trialBroke(fingerprint, target);
-    }
-    if (result == probe_result::Refused) {
-        noteUnreachable(target);
+    if (!m_paths.isLost()) {
+        m_unconfirmed[target].trials.merge(trials.mapped());
     }
     // Without an answer the target may be cut off: a death that is found later still counts.
+    noteConnect(target, result == probe_result::Refused ? connect_result::Refused : connect_result::NoAnswer);
 }
 
 void gateway::noteHeard(const target_id &target)
 {
+    m_paths.onHeard(loopNow());
     // While a probe is open, the bytes may have been sent before the target died.
     if (m_pool.noteHeard(loopNow(), target) && !m_probed.contains(target)) {
         m_crashes.targetAnswered(target);
--- a/packages/gateway/lib/residency_controller.cpp
+++ b/packages/gateway/lib/residency_controller.cpp
@@ -47,6 +47,11 @@
     return m_lease.isHolder(clock()) ? std::optional(m_lease.fence()) : std::nullopt;
 }
 
+void residency_controller::yield()
+{
+    m_lease.yield(clock());
+}
+
 void residency_controller::advanceLease()
 {
     switch (m_lease.tick(clock())) {
--- a/packages/gateway/unittests/answer_world.h
+++ b/packages/gateway/unittests/answer_world.h
@@ -72,13 +72,15 @@
         , m_log(m_output, "vm")
         , m_gateway(m_loop, optionsOfTest(), callsOf<answer_dialect>(), m_log, m_metrics)
         , m_target(m_loop, std::move(answers))
+        , m_other(m_loop, {{}})
         , m_callers(m_loop, {asio::ip::address_v4::loopback(), 0}, callerEvents())
         , m_caller(m_loop)
     {
         m_callers.start(100);
         configure(kind, resumable);
-        list("t1");
-        list("t2");
+        list("t1", "s", m_target);
+        list("t2", "s", m_target);
+        list("other", "other", m_other);
     }
 
     ~answer_world()
@@ -194,12 +196,12 @@
         m_gateway.configure(std::move(configuration));
     }
 
-    void list(const std::string &id)
+    void list(const std::string &id, const std::string &service, const scripted_target &at)
     {
         target_listing target;
         target.id = target_id(id);
-        target.service = service_id("s");
-        target.address = {m_target.address().address().to_string(), m_target.address().port()};
+        target.service = service_id(service);
+        target.address = {at.address().address().to_string(), at.address().port()};
         target.domain = domain_id("d");
         m_gateway.pool().list(loopNow(), target);
     }
@@ -220,6 +222,7 @@
     metrics_registry m_metrics;
     gateway m_gateway;
     scripted_target m_target;
+    scripted_target m_other; ///< lives on, so that the end of the first isn't taken for a lost path
     caller_listener m_callers;
     asio::ip::tcp::socket m_caller;
 };
--- a/packages/http/include/fuchsialoom/http/http_link.h
+++ b/packages/http/include/fuchsialoom/http/http_link.h
@@ -72,6 +72,9 @@
     /// Ends the connection; no event comes after this.
     void close();
 
+    /// Fails a request that waits for its connection as Withdrawn; does nothing if there is none.
+    void withdraw();
+
     /// Open, no exchange under way, and nothing unasked has come: the next request may follow.
     bool isReusable();
 
--- a/packages/http/lib/http_link.cpp
+++ b/packages/http/lib/http_link.cpp
@@ -243,6 +243,13 @@
     }
 }
 
+void http_link::withdraw()
+{
+    if (m_busy && !m_connected) {
+        fail(link_failure::Withdrawn);
+    }
+}
+
 void http_link::close()
 {
     const bool unanswered = m_busy && m_connected;
