Targets that refuse one VM stay in use at the others, and serve its requests through them

Cause: the word of a VM that reaches some targets and is refused by others counted at all VMs; and a request whose targets were all out of its VM's reach waited there. Change: about four VMs look for themselves when one was refused, and any that hears the target later than 50 ms after the word; one that reaches it contradicts: the target is used again elsewhere, and its death and the reports of it are withdrawn. The refused VM doesn't report it for 10 s. A request whose targets are all out of reach from its VM is passed on. A probe of a path check that is refused counts as a death as well, without which platform_poison_test.aRequestThatWasThereAtThreeWavesOfCrashesIsServed was red.

--- a/packages/fleet/include/fuchsialoom/fleet/messages.h
+++ b/packages/fleet/include/fuchsialoom/fleet/messages.h
@@ -45,7 +45,7 @@
 };
 
 /// A change of what is resident at a target, reported by the VM that ordered it; or the target is gone, because its host
-/// refused a VM's connection.
+/// refused a VM's connection; or it isn't gone, because another VM reached it after that.
 struct residency_change
 {
     target_id target;
--- a/packages/gateway/include/fuchsialoom/gateway/crash_evidence.h
+++ b/packages/gateway/include/fuchsialoom/gateway/crash_evidence.h
@@ -62,6 +62,8 @@
     crash_news trialBroke(instant now, content_hash fingerprint, const target_id &target);
     /// The process answered, so only connections broke.
     void targetAnswered(const target_id &target);
+    /// A VM reached the target after another one was refused by its host, so it didn't die: drops what was reported of it.
+    void retract(instant now, const target_id &target);
     /// Nothing listens at the target's address any more. \return the reports of what broke there, for all VMs.
     crash_news targetDied(instant now, const target_id &target);
     /// A request ran to its end. \return the acquittals of what it was reported for, for all VMs; none if it is doubtful whether
@@ -200,6 +202,7 @@
     quarantine m_quarantine;
     report_map m_reports; ///< bounded: the one that is forgotten first makes room
     std::map<target_id, instant> m_deaths; ///< bounded: the oldest makes room
+    std::map<target_id, instant> m_retracted; ///< targets that didn't die, until reports of it that are under way have arrived
     std::map<content_hash, std::size_t> m_completed; ///< runs of requests that have reports
     std::map<content_hash, instant> m_suspects; ///< with the end of the time for which each is held; derived from m_reports
     std::vector<weighed_death> m_weighed; ///< bounded: cleared by each weigh()
--- a/packages/gateway/include/fuchsialoom/gateway/gateway.h
+++ b/packages/gateway/include/fuchsialoom/gateway/gateway.h
@@ -227,10 +227,11 @@
         m_onInFlightChanged = std::move(callback);
     }
 
-    /// Sets the callback for a target whose host refused a connection, if that wasn't known here yet.
-    void onUnreachable(std::function<void(const target_id &)> callback)
+    /// Sets the callback for a target whose host refused a connection, or that was reached although it had refused another VM, if
+    /// that wasn't known here yet.
+    void onReachability(std::function<void(const target_id &, bool isAlive)> callback)
     {
-        m_onUnreachable = std::move(callback);
+        m_onReachability = std::move(callback);
     }
 
     /// \name The path to the targets: see path_watch.
@@ -255,8 +256,10 @@
 
     /// \name Requests that crash targets.
     /// @{
-    /// Records that a peer's connection to \p target was refused.
+    /// Records that a peer's connection to \p target was refused; some of the VMs look for themselves.
     void noteUnreachableElsewhere(const target_id &target);
+    /// Records that a peer reached \p target after it had refused another VM.
+    void noteAliveElsewhere(const target_id &target);
     /// Adds what other VMs or the store know. \return the part of it that wasn't known.
     crash_news learnCrashNews(const crash_news &news, crash_news_source source);
     crash_news knownCrashes() const
@@ -339,6 +342,8 @@
     void onProbed(const target_id &target, probe_result result);
     /// Bytes of an attempt at \p target arrived. After a silence, they show that its process didn't die.
     void noteHeard(const target_id &target);
+    /// Tells the others that \p target, which refused a peer, can be reached.
+    void contradict(const target_id &target);
     void reportDeath(const target_id &target, death_source source);
     service_facts serviceFactsOf(const target_id &target) const;
     /// The request of \p ex ran to its end, or has run for a while, so it crashes no target.
@@ -390,7 +395,7 @@
     std::map<model_id, model_demand> m_demand;
     std::function<void(const adapter_request &)> m_onAdapterMiss;
     std::function<void()> m_onInFlightChanged;
-    std::function<void(const target_id &)> m_onUnreachable;
+    std::function<void(const target_id &, bool isAlive)> m_onReachability;
     std::function<void(const crash_news &)> m_onCrashNews;
     std::function<milliseconds()> m_timeUntilOrders;
     asio::steady_timer m_queueTimer;
--- a/packages/gateway/include/fuchsialoom/gateway/target_pool.h
+++ b/packages/gateway/include/fuchsialoom/gateway/target_pool.h
@@ -58,6 +58,10 @@
     bool displaced = false; ///< `displacedUntil` was in the future at the last expirePeers()
     instant unreachableUntil{}; ///< its host refused a connection from this VM or a peer
     bool unreachable = false; ///< `unreachableUntil` was in the future at the last expirePeers()
+    instant unreachableSince{};
+    bool refusedHere = false; ///< it is unreachable since it refused this VM, not only a peer
+    instant saidAliveUntil{}; ///< a peer reached it after it had refused a VM, so a refusal is no sign of its death for a while
+    instant outOfReachUntil{}; ///< a connection attempt of this VM got no answer
     std::uint32_t consecutiveRefusals = 0; ///< times it became unreachable since its last successful attempt
 
     /// Whether it may get new requests and orders.
@@ -66,6 +70,12 @@
         return !listed.leaving && !displaced && !unreachable;
     }
 
+    /// Whether it may be that only this VM can't reach it.
+    bool isOutOfReach(instant now) const
+    {
+        return now < outOfReachUntil || (unreachable && refusedHere && now < saidAliveUntil);
+    }
+
     bool isAvoided(instant now) const
     {
         return now < avoidUntil || now < silentUntil;
@@ -114,6 +124,7 @@
     pool_target *target = nullptr; ///< valid until a target is listed or unlisted
     pool_verdict verdict = pool_verdict::NoTarget;
     std::size_t candidates = 0; ///< targets that could serve the request, with room or without
+    std::size_t outOfReach = 0; ///< further targets that other VMs reach and this one doesn't
 };
 
 class target_pool
@@ -169,9 +180,16 @@
     bool noteHeard(instant now, const target_id &id);
     /// Another process answered at the target's address. \return whether that wasn't known.
     bool displace(instant now, const target_id &id);
-    /// The target's host refused a connection, so no process is listening. The target gets no requests until it has had
+    /// The target's host refused a connection of this VM, so no process is listening. The target gets no requests until it has had
     /// time to restart. \return whether that wasn't known.
     bool noteUnreachable(instant now, const target_id &id);
+    /// A connection attempt of this VM got no answer: it gets only requests that no other target can take for \p length.
+    void noteNoAnswer(instant now, const target_id &id, milliseconds length);
+    void noteConnected(const target_id &id);
+    /// Some VM reached the target after its host had refused another one. \return whether it was unreachable.
+    bool noteAlive(instant now, const target_id &id);
+    /// Whether the target is unreachable by the word of a peer alone, although this VM hears it.
+    bool isHeardDespiteWord(instant now, const target_id &id) const;
     /// @}
 
     /// All requests that this VM has in flight, for a full digest.
@@ -199,6 +217,7 @@
     };
 
     void applyResidencyChanges(instant now, pool_target &target);
+    bool markUnreachable(instant now, const target_id &id, bool isRefusedHere);
     void setHeld(pool_target &target, const residency_change &residencyChange);
     double scoreOf(instant now, const pool_target &target, std::uint64_t draw) const;
     static std::uint32_t slotsOf(const pool_target &target);
--- a/packages/gateway/lib/crash_evidence.cpp
+++ b/packages/gateway/lib/crash_evidence.cpp
@@ -7,6 +7,8 @@
 namespace fuchsialoom
 {
 
+/// Messages repeat a report for a shorter time.
+static constexpr milliseconds retractionMemory{5000};
 static constexpr std::size_t deathsToQuarantine = 3;
 /// Deaths after which a request is held back. One may be chance; the retry of a request that died with its target meets a
 /// second only in a wave of crashes, or if it is the cause.
@@ -165,6 +167,27 @@
     m_quarantine.takeBroken(target, {});
 }
 
+void crash_evidence::retract(instant now, const target_id &target)
+{
+    std::erase_if(m_retracted, [now](const auto &entry) {
+        return entry.second <= now;
+    });
+    m_retracted[target] = now + retractionMemory;
+    targetAnswered(target);
+    m_deaths.erase(target);
+    std::set<content_hash> cleared;
+    std::erase_if(m_reports, [&](const auto &entry) {
+        const bool isCleared = entry.first.second == target;
+        if (isCleared) {
+            cleared.insert(entry.first.first);
+        }
+        return isCleared;
+    });
+    for (const content_hash fingerprint : cleared) {
+        updateSuspect(fingerprint);
+    }
+}
+
 crash_news crash_evidence::targetDied(instant now, const target_id &target)
 {
     noteDeath(target, now);
@@ -208,6 +231,10 @@
 {
     crash_news unknown;
     for (const crash_report &report : news.reports) {
+        const auto retracted = m_retracted.find(report.target);
+        if (retracted != m_retracted.end() && now < retracted->second) {
+            continue;
+        }
         if (report.fingerprint == noRequest) {
             if (noteDeath(report.target, now - report.age)) {
                 unknown.reports.push_back(report);
--- a/packages/gateway/lib/exchange_attempts.cpp
+++ b/packages/gateway/lib/exchange_attempts.cpp
@@ -142,6 +142,7 @@
     events.mayWrite = [self, number] {
         const attempt *one = self->findAttempt(number);
         if (one && !one->peer) {
+            self->m_gateway.m_pool.noteConnected(one->target);
             self->m_gateway.noteConnect(one->target, connect_result::Connected);
         }
         return true;
@@ -347,7 +348,11 @@
         m_gateway.m_peerChoice.avoid(loopNow(), *one.peer);
     } else if (how != link_failure::Withdrawn) {
         m_gateway.noteConnect(one.target, how == link_failure::Refused ? connect_result::Refused : connect_result::NoAnswer);
-        m_gateway.m_pool.avoid(loopNow(), one.target, unreachableAvoidance);
+        if (how == link_failure::Refused) {
+            m_gateway.m_pool.avoid(loopNow(), one.target, unreachableAvoidance);
+        } else {
+            m_gateway.m_pool.noteNoAnswer(loopNow(), one.target, unreachableAvoidance);
+        }
     }
     handleAttemptEnd(one, attempt_outcome::NotSent);
 }
--- a/packages/gateway/lib/gateway.cpp
+++ b/packages/gateway/lib/gateway.cpp
@@ -209,13 +209,19 @@
 
 void gateway::noteUnreachable(const target_id &target)
 {
+    const pool_target *known = m_pool.find(target);
+    if (known && loopNow() < known->saidAliveUntil) {
+        m_pool.noteUnreachable(loopNow(), target);
+        m_log.write(loopNow(), log_line("target-out-of-reach").with("target", target));
+        return;
+    }
     reportDeath(target, death_source::Own);
     if (!m_pool.noteUnreachable(loopNow(), target)) {
         return;
     }
     m_log.write(loopNow(), log_line("target-unreachable").with("target", target));
-    if (m_onUnreachable) {
-        m_onUnreachable(target);
+    if (m_onReachability) {
+        m_onReachability(target, false);
     }
 }
 
@@ -226,6 +232,10 @@
     }
     const target_query query = ex.query();
     const target_choice choice = m_pool.choose(loopNow(), query, m_random());
+    const bool isOutOfReach = choice.target ? choice.target->isOutOfReach(loopNow()) : choice.candidates == 0 && choice.outOfReach > 0;
+    if (isOutOfReach && !ex.isPassedOn() && !m_servingPeers.empty()) {
+        return passOn(ex) ? pool_verdict::Chosen : pool_verdict::NoTarget;
+    }
     if (choice.target) {
         m_queue.depart(loopNow(), ex.serial());
         const auto keptAlive = m_queued.extract(ex.serial());
--- a/packages/gateway/lib/gateway_quarantine.cpp
+++ b/packages/gateway/lib/gateway_quarantine.cpp
@@ -14,6 +14,8 @@
 
 /// As long as an attempt may take to connect.
 static constexpr milliseconds probeTimeout{250};
+/// About as many VMs look for themselves when one of them was refused by a target.
+static constexpr std::size_t verifyingVms = 4;
 /// Share of the requests at an engine that are about to begin; the streams of all others have shown that they run.
 static constexpr double beginningShare = 0.2;
 
@@ -61,6 +63,9 @@
 void gateway::noteHeard(const target_id &target)
 {
     m_paths.onHeard(loopNow());
+    if (m_pool.isHeardDespiteWord(loopNow(), target)) {
+        contradict(target);
+    }
     // While a probe is open, the bytes may have been sent before the target died.
     if (m_pool.noteHeard(loopNow(), target) && !m_probed.contains(target)) {
         m_crashes.targetAnswered(target);
@@ -69,8 +74,40 @@
 
 void gateway::noteUnreachableElsewhere(const target_id &target)
 {
+    const pool_target *known = m_pool.find(target);
+    const bool isNew = known && !known->unreachable;
     m_pool.addResidencyChange(loopNow(), {target, {}, {}, false});
     reportDeath(target, death_source::Peer);
+    if (!isNew || m_paths.isLost() || m_random() % m_liveVms >= verifyingVms) {
+        return;
+    }
+    probeListener(m_loop, tcpEndpointOf(known->listed.address), probeTimeout, [this, target](probe_result result) {
+        if (result == probe_result::Listening) {
+            contradict(target);
+        }
+    });
+}
+
+void gateway::noteAliveElsewhere(const target_id &target)
+{
+    if (m_pool.noteAlive(loopNow(), target)) {
+        m_log.write(loopNow(), log_line("target-alive").with("target", target).with("by", death_source::Peer));
+    }
+    m_crashes.retract(loopNow(), target);
+}
+
+void gateway::contradict(const target_id &target)
+{
+    const pool_target *known = m_pool.find(target);
+    if (!known || !known->unreachable || known->refusedHere) {
+        return;
+    }
+    m_pool.noteAlive(loopNow(), target);
+    m_crashes.retract(loopNow(), target);
+    m_log.write(loopNow(), log_line("target-alive").with("target", target).with("by", death_source::Own));
+    if (m_onReachability) {
+        m_onReachability(target, true);
+    }
 }
 
 void gateway::reportDeath(const target_id &target, death_source source)
--- a/packages/gateway/lib/path_watch.cpp
+++ b/packages/gateway/lib/path_watch.cpp
@@ -36,14 +36,14 @@
     if (m_isLost) {
         return path_change::None;
     }
+    m_suspects.insert(target);
     if (wasProbe && m_isDecided) {
-        return path_change::None;
+        return path_change::Confirmed;
     }
     m_missed.insert(target);
     if (wasProbe) {
         return m_probed.empty() ? decide() : path_change::None;
     }
-    m_suspects.insert(target);
     const bool isOwnTrouble = result == connect_result::NoAnswer && now - m_heardAt < recentTime;
     if (isOwnTrouble && m_isDecided) {
         m_missed.clear();
--- a/packages/gateway/lib/target_pool.cpp
+++ b/packages/gateway/lib/target_pool.cpp
@@ -22,6 +22,10 @@
 /// longer than VMs repeat the change to each other, so that a repetition doesn't take the target out again.
 static constexpr milliseconds initialUnreachableTime{1500};
 static constexpr std::uint32_t maxBackoffDoublings = 2;
+/// Bytes that arrive this long after another VM was refused were sent after that.
+static constexpr milliseconds bytesInFlightTime{50};
+/// A target that some VM reached isn't reported as dead by VMs that it refuses for this long. Its death is found by the others.
+static constexpr milliseconds aliveWordTime{10000};
 /// A peer's count for a plain target is valid for this many mean runs plus peerCountSlack, the time that its next message
 /// may take. Peers report each send at once, but an end only with their next send: with 60 VMs, a call of 15 ms stayed in
 /// the counts for 0.15 s, and two calls in ten waited 87 ms or more for idle targets.
@@ -178,7 +182,11 @@
         return;
     }
     if (residencyChange.model.empty()) {
-        noteUnreachable(now, residencyChange.target);
+        if (residencyChange.present) {
+            noteAlive(now, residencyChange.target);
+        } else {
+            markUnreachable(now, residencyChange.target, false);
+        }
         return;
     }
     std::vector<unexpired_change> &kept = m_residencyChanges[residencyChange.target];
@@ -222,13 +230,57 @@
 }
 
 bool target_pool::noteUnreachable(instant now, const target_id &id)
+{
+    return markUnreachable(now, id, true);
+}
+
+void target_pool::noteNoAnswer(instant now, const target_id &id, milliseconds length)
+{
+    avoid(now, id, length);
+    const auto found = m_targets.find(id);
+    if (found != m_targets.end()) {
+        found->second.outOfReachUntil = now + length;
+    }
+}
+
+void target_pool::noteConnected(const target_id &id)
+{
+    const auto found = m_targets.find(id);
+    if (found != m_targets.end()) {
+        found->second.outOfReachUntil = instant{};
+    }
+}
+
+bool target_pool::noteAlive(instant now, const target_id &id)
 {
     const auto found = m_targets.find(id);
-    if (found == m_targets.end() || found->second.unreachable) {
+    if (found == m_targets.end() || !found->second.unreachable) {
+        return false;
+    }
+    found->second.saidAliveUntil = now + aliveWordTime;
+    found->second.unreachable = found->second.refusedHere;
+    return true;
+}
+
+bool target_pool::isHeardDespiteWord(instant now, const target_id &id) const
+{
+    const pool_target *target = find(id);
+    return target && target->unreachable && !target->refusedHere && now - target->unreachableSince >= bytesInFlightTime;
+}
+
+bool target_pool::markUnreachable(instant now, const target_id &id, bool isRefusedHere)
+{
+    const auto found = m_targets.find(id);
+    if (found == m_targets.end()) {
         return false;
     }
     pool_target &target = found->second;
+    target.refusedHere = (target.unreachable && target.refusedHere) || isRefusedHere;
+    if (target.unreachable) {
+        return false;
+    }
     target.unreachable = true;
+    target.unreachableSince = now;
     target.unreachableUntil = now + initialUnreachableTime * (1 << std::min(target.consecutiveRefusals, maxBackoffDoublings));
     target.consecutiveRefusals += 1;
     return true;
@@ -294,7 +346,12 @@
     bool listed = false;
     std::uint64_t state = draw;
     for (auto &[id, target] : m_targets) {
-        if (target.listed.service != query.service || !target.takesNew() || (query.tried && query.tried->contains(id))) {
+        if (target.listed.service != query.service || (query.tried && query.tried->contains(id))) {
+            continue;
+        }
+        if (!target.takesNew()) {
+            const bool holds = query.model.empty() || !target.listed.isEngine || target.holds(query.model, query.adapter);
+            choice.outOfReach += holds && !target.listed.leaving && !target.displaced && target.isOutOfReach(now) ? 1 : 0;
             continue;
         }
         listed = true;
