--- a/packages/gateway/include/fuchsialoom/gateway/gateway.h
+++ b/packages/gateway/include/fuchsialoom/gateway/gateway.h
@@ -291,6 +291,11 @@
     {
         return m_openCount;
     }
+    /// Bytes kept of answers that are relayed as a whole.
+    std::size_t keptAnswerBytes() const
+    {
+        return m_answerBytes;
+    }
 
 private:
     friend class exchange;
@@ -405,6 +410,8 @@
     bool m_dispatchAgain = false;
     std::size_t m_liveVms = 1;
     std::size_t m_openCount = 0;
+    std::size_t m_answerBytes = 0; ///< kept of answers that are relayed as a whole
+    std::size_t m_answerCount = 0; ///< of these answers
     std::uint64_t m_serial = 0;
     std::mt19937_64 m_random;
     gateway_counters m_counters;
--- a/packages/gateway/lib/exchange.h
+++ b/packages/gateway/lib/exchange.h
@@ -109,6 +109,7 @@
         instant firstEventAt = farFuture;
         instant lastEventAt{};
         instant lastByteAt{};
+        std::size_t bytesSinceEvent = 0; ///< of a stream
         bool isSilent = false; ///< nothing came for longer than a busy target needs
         bool usesSlot = true; ///< counted as in flight at its target
     };
@@ -156,6 +157,8 @@
     static bool isBeginning(const attempt &one, instant now);
     void samplePace(instant now);
     void onBody(attempt &one, std::string_view bytes);
+    /// Whether \p size further bytes of the answer of \p one are more than this VM keeps.
+    bool exceedsBounds(const attempt &one, std::size_t size) const;
     /// Events of the leading attempt.
     void onEvents(std::string_view events);
     void onComplete(attempt &one);
--- a/packages/gateway/lib/exchange_attempts.cpp
+++ b/packages/gateway/lib/exchange_attempts.cpp
@@ -22,6 +22,11 @@
 /// Events per pace sample of a stream; at least a tenth of a stream.
 static constexpr std::uint64_t eventsPerPaceSample = 8;
 static constexpr int statusFailed = 502;
+/// Largest answer that is relayed as a whole, and the largest event, with the comments and empty lines before it.
+static constexpr std::size_t maxAnswerBytes = 16777216;
+static constexpr std::size_t maxEventBytes = 1048576;
+/// For all answers that are relayed as a whole: a third of the smallest memory that VMs have. Beyond it the larger ones are given up.
+static constexpr std::size_t maxAllAnswerBytes = 83886080;
 /// A request crashes its target as it begins to run. Once its stream has gone on for this long, it has begun.
 static constexpr milliseconds beginningTime{100};
 
@@ -180,14 +185,32 @@
     one.relaysEvents = isStream() && head.status == 200 && facts.signedByTarget && !facts.notRun;
 }
 
+bool exchange::exceedsBounds(const attempt &one, std::size_t size) const
+{
+    if (one.relaysEvents) {
+        return one.bytesSinceEvent + size > maxEventBytes;
+    }
+    const std::size_t whole = one.body.size() + size;
+    const std::size_t all = m_gateway.m_answerBytes + size;
+    return whole > maxAnswerBytes || (all > maxAllAnswerBytes && whole * m_gateway.m_answerCount >= all);
+}
+
 void exchange::onBody(attempt &one, std::string_view bytes)
 {
     onHeard(one);
+    if (exceedsBounds(one, bytes.size())) {
+        onBrokenOff(one, nameOf(link_failure::TooLarge), false);
+        return;
+    }
     if (!one.relaysEvents) {
+        m_gateway.m_answerCount += one.body.empty() ? 1 : 0;
+        m_gateway.m_answerBytes += bytes.size();
         one.body.append(bytes);
         return;
     }
+    const std::uint64_t before = one.scanner.count();
     const std::string events = one.scanner.feed(bytes);
+    one.bytesSinceEvent = one.scanner.count() > before ? one.scanner.rest().size() : one.bytesSinceEvent + bytes.size();
     if (!events.empty()) {
         settleOn(one);
         onEvents(events);
@@ -455,6 +478,9 @@
 
 void exchange::release(attempt &one)
 {
+    m_gateway.m_answerCount -= one.body.empty() ? 0 : 1;
+    m_gateway.m_answerBytes -= one.body.size();
+    one.body.clear();
     if (one.peer) {
         m_gateway.m_peerChoice.end(*one.peer);
         m_gateway.m_peerLinks.release(target_id(one.peer->text()), one.link);
--- a/packages/gateway/unittests/answer_world.h
+++ b/packages/gateway/unittests/answer_world.h
@@ -209,7 +209,7 @@
     template<typename Condition>
     void runUntil(Condition holds)
     {
-        static constexpr int maxTurns = 1000;
+        static constexpr int maxTurns = 5000;
         for (int turn = 0; turn < maxTurns && !holds(); ++turn) {
             m_loop.restart();
             m_loop.run_one_for(milliseconds(5));
--- a/packages/gateway/unittests/scripted_target.h
+++ b/packages/gateway/unittests/scripted_target.h
@@ -108,10 +108,12 @@
     {
         static constexpr milliseconds pause{5};
         asio::error_code ignored;
-        asio::write(one->socket, asio::buffer(with.bytes), ignored);
         if (with.end == connection_end::Stay) {
+            // More than the sockets hold, perhaps, while the reader is on the same thread.
+            asio::async_write(one->socket, asio::buffer(with.bytes), [one](const asio::error_code &, std::size_t) {});
             return;
         }
+        asio::write(one->socket, asio::buffer(with.bytes), ignored);
         if (with.end == connection_end::Exit) {
             m_acceptor.close(ignored);
         }
--- a/packages/http/include/fuchsialoom/http/http_link.h
+++ b/packages/http/include/fuchsialoom/http/http_link.h
@@ -10,7 +10,9 @@
 #include <asio.hpp>
 
 #include <array>
+#include <cstddef>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -28,6 +30,7 @@
     Closed, ///< the server closed it in order before the answer was whole
     Malformed, ///< what came is no answer
     WrongAnswer, ///< answers to other requests came instead
+    TooLarge, ///< the answer's body is larger than link_events::maxBodyBytes
 };
 
 template<>
@@ -42,6 +45,7 @@
         {link_failure::Closed, "closed"},
         {link_failure::Malformed, "malformed"},
         {link_failure::WrongAnswer, "wrong-answer"},
+        {link_failure::TooLarge, "too-large"},
     });
 };
 
@@ -55,6 +59,8 @@
     std::function<void(link_failure, bool sent)> onFailure;
     /// Whether a head answers this request; an answer that doesn't is read and dropped.
     std::function<bool(const answer_head &)> isMine;
+    /// A larger body fails the exchange. By default the receiver bounds what it keeps.
+    std::size_t maxBodyBytes = std::numeric_limits<std::size_t>::max();
     /// Optional. Called once a new connection is established, right before the request is written to it. If it returns
     /// false, the request fails with Withdrawn. Not called when a connection is reused.
     std::function<bool()> mayWrite;
@@ -123,6 +129,8 @@
     bool m_skipping = false; ///< the answer being read is another's
     bool m_tainted = false; ///< bytes came that belong to no request: not to be used again
     int m_dropped = 0; ///< answers to others in this exchange
+    std::size_t m_droppedBytes = 0; ///< of their bodies
+    std::size_t m_bodyBytes = 0; ///< of the answer
     int m_exchanges = 0;
     instant m_connectBy = farFuture; ///< of the connection being made
     instant m_idleUntil = farFuture;
--- a/packages/http/lib/answer_reader.cpp
+++ b/packages/http/lib/answer_reader.cpp
@@ -10,7 +10,8 @@
 namespace fuchsialoom
 {
 
-/// Heads beyond this are no answers; guards the memory against a server that never ends its head.
+/// Heads beyond this are no answers, with the interim answers and empty lines before them; guards the memory against a server that
+/// never ends its head.
 static constexpr std::size_t mostHeadBytes = 65536;
 
 struct answer_reader::state
@@ -29,7 +30,8 @@
     bool complete = false;
     bool reusable = false;
     bool valueBegun = false;
-    std::size_t headBytes = 0;
+    std::size_t headBytes = 0; ///< of the fields
+    std::size_t bytesBeforeBody = 0;
     std::string fieldName;
     std::string fieldValue;
     answer_head head;
@@ -165,7 +167,8 @@
     state &self = *m_state;
     self.progress = {};
     self.progress.taken = http_parser_execute(&self.parser, &settings, data, size);
-    const bool failed = HTTP_PARSER_ERRNO(&self.parser) != HPE_OK;
+    self.bytesBeforeBody += self.headWhole ? 0 : self.progress.taken;
+    const bool failed = HTTP_PARSER_ERRNO(&self.parser) != HPE_OK || self.bytesBeforeBody > mostHeadBytes;
     self.progress.broken = !self.complete && (failed || size == 0);
     return std::move(self.progress);
 }
--- a/packages/http/lib/http_link.cpp
+++ b/packages/http/lib/http_link.cpp
@@ -12,6 +12,8 @@
 
 /// A server that sends more answers to other requests than this is not waited for.
 static constexpr int mostDroppedAnswers = 2;
+/// Nor is a server that sends more bytes in such answers.
+static constexpr std::size_t mostDroppedBytes = 1048576;
 /// A connection isn't used so shortly before its server closes it: one way to the server and back.
 static constexpr milliseconds idleMargin{500};
 /// Unacknowledged bytes older than this end the connection: a server that lost power sends no reset.
@@ -41,6 +43,8 @@
     m_sent = false;
     m_isHead = isHead;
     m_dropped = 0;
+    m_droppedBytes = 0;
+    m_bodyBytes = 0;
     m_skipping = false;
     m_exchanges += 1;
     m_outgoing = std::move(bytes);
@@ -178,6 +182,15 @@
     if (m_closed) {
         return;
     }
+    (m_skipping ? m_droppedBytes : m_bodyBytes) += progress.body.size();
+    if (m_droppedBytes > mostDroppedBytes) {
+        fail(link_failure::WrongAnswer);
+        return;
+    }
+    if (m_bodyBytes > m_events.maxBodyBytes) {
+        fail(link_failure::TooLarge);
+        return;
+    }
     if (!progress.body.empty() && !m_skipping && m_events.onBody) {
         m_events.onBody(progress.body);
     }
