--- a/packages/gateway/include/fuchsialoom/gateway/gateway.h
+++ b/packages/gateway/include/fuchsialoom/gateway/gateway.h
@@ -242,6 +242,8 @@
     {
         return m_paths.isLost();
     }
+    /// Prometheus text of the path and of the requests that were passed on.
+    std::string pathMetrics() const;
     /// Whether requests go to other VMs, since this one has no path.
     bool passesOn() const
     {
--- a/packages/gateway/include/fuchsialoom/gateway/path_watch.h
+++ b/packages/gateway/include/fuchsialoom/gateway/path_watch.h
@@ -52,7 +52,7 @@
     path_change onConnect(instant now, const target_id &target, connect_result result);
 
     /// Nothing came from any target for a while, although requests are in progress at several.
-    void onQuiet(instant now);
+    void onQuiet();
 
     /// The targets to attempt a connection to now, of \p candidates, which are in random order. Each result goes to onConnect().
     std::vector<target_id> takeProbes(instant now, const std::vector<target_id> &candidates);
--- a/packages/gateway/lib/gateway_path.cpp
+++ b/packages/gateway/lib/gateway_path.cpp
@@ -100,7 +100,7 @@
             return entry.second.own.requests > 0;
         });
         if (used >= minQuietTargets) {
-            m_paths.onQuiet(now);
+            m_paths.onQuiet();
         }
     }
     probePath();
@@ -185,4 +185,21 @@
     ex->start();
 }
 
+std::string gateway::pathMetrics() const
+{
+    std::string text = "# HELP fuchsialoom_path_lost whether this VM reaches no target\n"
+                       "# TYPE fuchsialoom_path_lost gauge\n"
+                       "fuchsialoom_path_lost ";
+    text.append(m_paths.isLost() ? "1" : "0");
+    text.append("\n# HELP fuchsialoom_passed_on_total requests sent to other VMs, since their targets were out of reach\n"
+                "# TYPE fuchsialoom_passed_on_total counter\n"
+                "fuchsialoom_passed_on_total ");
+    text.append(std::to_string(m_counters.passedOn));
+    text.append("\n# HELP fuchsialoom_taken_over_total requests that other VMs passed on to this one\n"
+                "# TYPE fuchsialoom_taken_over_total counter\n"
+                "fuchsialoom_taken_over_total ");
+    text.append(std::to_string(m_counters.takenOver)).append("\n");
+    return text;
+}
+
 } // namespace fuchsialoom
--- a/packages/gateway/lib/path_watch.cpp
+++ b/packages/gateway/lib/path_watch.cpp
@@ -53,7 +53,7 @@
     return path_change::None;
 }
 
-void path_watch::onQuiet(instant)
+void path_watch::onQuiet()
 {
     m_wantsCheck = m_wantsCheck || (!m_isLost && m_isDecided);
 }
--- a/packages/gateway/unittests/path_watch_test.cpp
+++ b/packages/gateway/unittests/path_watch_test.cpp
@@ -98,10 +98,10 @@
 
 TEST_F(path_watch_test, silenceOfAllTargetsIsCheckedByProbes)
 {
-    m_paths.onQuiet(m_now);
+    m_paths.onQuiet();
     EXPECT_EQ(probeAll(connect_result::Connected), path_change::None);
     EXPECT_FALSE(m_paths.isLost());
-    m_paths.onQuiet(m_now);
+    m_paths.onQuiet();
     EXPECT_EQ(probeAll(connect_result::NoAnswer), path_change::Lost);
 }
 
--- a/tests/platform_path_test.cpp
+++ b/tests/platform_path_test.cpp
@@ -5,9 +5,13 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <array>
 #include <chrono>
+#include <csignal>
+#include <cstdlib>
 #include <future>
 #include <map>
+#include <random>
 #include <string>
 #include <thread>
 #include <tuple>
@@ -215,4 +219,67 @@
     return std::string(nameOf(info.param));
 });
 
+namespace
+{
+
+std::uint64_t numberFrom(const char *variable, std::uint64_t otherwise)
+{
+    const char *text = std::getenv(variable);
+    return text ? std::strtoull(text, nullptr, 10) : otherwise;
+}
+
+/// Cuts drawn from a seed overlap with stops, SIGHUPs and configurations. PATH_SOAK_SEED chooses the seed, PATH_SOAK_ROUNDS the
+/// number of cuts.
+class platform_path_soak : public platform_path
+{
+protected:
+    void play(std::uint64_t seed)
+    {
+        std::mt19937_64 random(seed);
+        start();
+        int version = 1;
+        for (std::uint64_t round = 0; round < numberFrom("PATH_SOAK_ROUNDS", 3); ++round) {
+            const std::string name = "seed-" + std::to_string(seed) + "-" + std::to_string(round);
+            static constexpr std::array states{path_state::Silent, path_state::Reset, path_state::RefusingNew, path_state::OneWay};
+            static constexpr std::array shares{cut_share::One, cut_share::Most, cut_share::All};
+            cut(shares.at(random() % shares.size()), states.at(random() % states.size()));
+            std::this_thread::sleep_for(settling);
+            const std::uint64_t beside = random() % 4;
+            const std::string &disturbed = m_vms[random() % m_vms.size()];
+            auto tries = std::async(std::launch::async, [&] {
+                return tryAtAll(m_vms, name, firstTries);
+            });
+            std::this_thread::sleep_for(std::chrono::milliseconds(random() % 500));
+            if (beside == 1) {
+                m_world.vm(disturbed).send(SIGHUP);
+            } else if (beside == 2) {
+                m_world.configure(platform_world::configurationOf(++version, 2, true));
+            } else if (beside == 3) {
+                m_world.vm(disturbed).send(SIGTERM);
+            }
+            const std::vector<try_counts> counts = tries.get();
+            for (std::size_t vm = 0; vm < m_vms.size(); ++vm) {
+                if (beside != 3 || m_vms[vm] != disturbed) {
+                    EXPECT_GT(counts[vm].served * 4, counts[vm].sent * 3) << name << " " << m_vms[vm] << " beside " << beside;
+                }
+            }
+            heal();
+            if (beside == 3) {
+                EXPECT_EQ(m_world.vm(disturbed).waitForExit(), 0) << name;
+                m_world.restartVm(disturbed);
+                EXPECT_TRUE(m_world.waitReady(disturbed)) << name;
+            }
+            std::this_thread::sleep_for(settling);
+        }
+        EXPECT_EQ(doubleRuns(), 0) << "seed " << seed;
+    }
+};
+
+} // namespace
+
+TEST_F(platform_path_soak, firstTriesAreServedBesideStopsAndChanges)
+{
+    play(numberFrom("PATH_SOAK_SEED", 1));
+}
+
 } // namespace fuchsialoom
