--- a/packages/gateway/unittests/path_watch_test.cpp
+++ b/packages/gateway/unittests/path_watch_test.cpp
@@ -16,6 +16,7 @@
 std::vector<target_id> targets(int count)
 {
     std::vector<target_id> ids;
+    ids.reserve(static_cast<std::size_t>(count));
     for (int number = 0; number < count; ++number) {
         ids.emplace_back("t" + std::to_string(number));
     }
--- a/tests/platform_path_test.cpp
+++ b/tests/platform_path_test.cpp
@@ -122,12 +122,14 @@
     std::vector<try_counts> tryAtAll(const std::vector<std::string> &vms, const std::string &prefix, int count)
     {
         std::vector<std::future<try_counts>> tries;
+        tries.reserve(vms.size());
         for (const std::string &vm : vms) {
             tries.push_back(std::async(std::launch::async, [this, vm, prefix, count] {
-                return tryAt(vm, prefix + "-" + vm, count);
+                return tryAt(vm, std::string(prefix).append("-").append(vm), count);
             }));
         }
         std::vector<try_counts> counts;
+        counts.reserve(vms.size());
         for (auto &one : tries) {
             counts.push_back(one.get());
         }
