Lines of attempts that broke name the parts of the prompt

Requests that crash engines one after the other were accused under a different fingerprint each, and no line told whether they shared a part of their prompts, so a crashing part couldn't be told from engines that end for other reasons. No decision changes.

--- a/packages/gateway/include/fuchsialoom/gateway/request_facts.h
+++ b/packages/gateway/include/fuchsialoom/gateway/request_facts.h
@@ -18,6 +18,9 @@
 namespace fuchsialoom
 {
 
+/// Parts of a prompt that are considered. Bounds what a caller can make the fleet remember.
+inline constexpr std::size_t maxPromptParts = 8;
+
 struct request_facts
 {
     request_id id; ///< empty if the caller sent none
@@ -29,6 +32,18 @@
     std::optional<std::uint32_t> outputTokensHint; ///< the caller's estimate
     bool statesTokens = false; ///< the caller stated the counts above
     std::optional<std::uint64_t> resumeAfter; ///< id of the last event that the caller has received
+    /// Names of the parts of its prompt that other requests may have too, in order: the first maxPromptParts, without the last of all.
+    std::vector<std::string> sharedParts;
+
+    /// The parts for a log line.
+    std::string partsText() const
+    {
+        std::string text;
+        for (const std::string &part : sharedParts) {
+            text.append(text.empty() ? "" : ",").append(part);
+        }
+        return text.empty() ? "none" : text;
+    }
 };
 
 /// What is sent with an attempt in addition to the caller's headers.
--- a/packages/gateway/lib/exchange_attempts.cpp
+++ b/packages/gateway/lib/exchange_attempts.cpp
@@ -408,6 +408,7 @@
                                      .with("events", one.scanner.count())
                                      .with("unfinished-bytes", one.scanner.rest().size())
                                      .with("fingerprint", textOf(fingerprint()))
+                                     .with("parts", m_facts.partsText())
                                      .with("after-ms", std::chrono::duration_cast<milliseconds>(now - one.sentAt)));
 }
 
