Tests: a path ends with its target, and sound tries are counted in a long enough time

A path between a VM and a target accepted connections for a target that had ended, so probes found it alive and the red run of the scene showed the stand-in's fault beside the system's. It ends with its target now.

--- a/tests/platform_world.cpp
+++ b/tests/platform_world.cpp
@@ -52,6 +52,13 @@
     call([&] {
         const std::string id = options.id;
         m_targets[id] = std::make_unique<fake_target>(m_loop, std::move(options));
+        m_targets[id]->onCrash([this, id] {
+            for (const auto &[key, path] : m_paths) {
+                if (key.second == id) {
+                    path->endTarget();
+                }
+            }
+        });
         m_store->put("keyed.servers", id, m_targets[id]->entry());
     });
 }
@@ -159,6 +166,9 @@
         const std::string address = nlohmann::json::parse(m_targets.at(target)->entry())["addr"];
         path = std::make_unique<target_path>(m_loop, endpointOf(address));
         path->set(m_pathStates[vm]);
+        if (m_targets.at(target)->hasCrashed()) {
+            path->endTarget();
+        }
     }
     return *path;
 }
--- a/tests/prompt_part_scene.cpp
+++ b/tests/prompt_part_scene.cpp
@@ -209,27 +209,26 @@
     return end + 2 * containmentTime;
 }
 
-double prompt_part_scene::servedShare(clock::time_point from, clock::time_point until) const
+first_tries prompt_part_scene::triesIn(clock::time_point from, clock::time_point until) const
 {
-    std::size_t tries = 0;
-    std::size_t served = 0;
+    first_tries tries;
     for (const sound_try &one : m_sound) {
         if (one.isCounted && one.at >= from && one.at < until) {
-            tries += 1;
-            served += one.isServed ? 1 : 0;
+            tries.sent += 1;
+            tries.served += one.isServed ? 1 : 0;
         }
     }
-    return tries == 0 ? 0 : static_cast<double>(served) / static_cast<double>(tries);
+    return tries;
 }
 
-double prompt_part_scene::servedBefore() const
+first_tries prompt_part_scene::triesBefore() const
 {
-    return servedShare({}, m_badFrom);
+    return triesIn({}, m_badFrom);
 }
 
-double prompt_part_scene::servedAfterContainment() const
+first_tries prompt_part_scene::triesAfterContainment() const
 {
-    return servedShare(containedFrom(), m_badUntil);
+    return triesIn(containedFrom(), m_badUntil);
 }
 
 } // namespace fuchsialoom
--- a/tests/prompt_part_scene.h
+++ b/tests/prompt_part_scene.h
@@ -31,6 +31,17 @@
     std::uint64_t seed = 1;
 };
 
+struct first_tries
+{
+    std::size_t sent = 0;
+    std::size_t served = 0;
+
+    double share() const
+    {
+        return sent == 0 ? 0 : static_cast<double>(served) / static_cast<double>(sent);
+    }
+};
+
 class prompt_part_scene
 {
 public:
@@ -58,16 +69,12 @@
     /// Requests with the part that reached targets later than the containment time after the fifth end, from VMs that weren't
     /// disturbed.
     std::size_t lateSends();
-    /// Shares of the sound first tries that were served.
+    /// Sound first tries at VMs that weren't disturbed.
     /// @{
-    double servedBefore() const;
+    first_tries triesBefore() const;
     /// From twice the containment time after the fifth end, or the last if there are fewer, while the others still come.
-    double servedAfterContainment() const;
+    first_tries triesAfterContainment() const;
     /// @}
-    std::size_t soundTries() const
-    {
-        return m_sound.size();
-    }
 
     platform_world &world()
     {
@@ -100,7 +107,7 @@
     bool isExempt(const std::string &vm, clock::time_point at);
     void callSoundly(const std::string &vm, std::uint64_t seed, clock::time_point until);
     void callBadly(std::uint64_t seed, clock::time_point until);
-    double servedShare(clock::time_point from, clock::time_point until) const;
+    first_tries triesIn(clock::time_point from, clock::time_point until) const;
     clock::time_point containedFrom() const;
 
     scene_options m_options;
