Parts of prompts that crash targets are found, held back and refused

The parts that requests may share are subjects of the evidence beside the request itself, in the same reports, turns and quarantines. A run in which a target begins its answer acquits its parts at all VMs, and a part that ran lately is excused at a death, so what everybody shares is never held. A part at two deaths is held for a second and then runs alone, one request at a time over the fleet; it is quarantined when such a trial ends with the only target that dies, or at the second one, and only if nothing else in the request was suspected. A request that a trial of its part broke isn't convicted by that alone.

--- a/packages/fleet/include/fuchsialoom/fleet/crash_news.h
+++ b/packages/fleet/include/fuchsialoom/fleet/crash_news.h
@@ -16,11 +16,13 @@
 /// A target's process died while a request was about to run there.
 struct crash_report
 {
-    content_hash fingerprint;
+    content_hash fingerprint; ///< of the request; in an acquittal, also of a part of prompts
     target_id target; ///< of one incarnation
     bool isAcquitted = false; ///< the request has completed elsewhere since
     milliseconds age{0}; ///< time since the death
     bool isTrial = false; ///< the request was known to be suspected, and no other suspected one ran at the service
+    std::vector<content_hash> parts{}; ///< of the request's prompt; see crash_subjects
+    bool isPart = false; ///< an acquittal of a part
 
     friend bool operator==(const crash_report &, const crash_report &) = default;
 };
@@ -89,6 +91,8 @@
         instant at{}; ///< of the death or the claim, or the end of the quarantine
         bool isAcquitted = false;
         bool isTrial = false;
+        std::vector<content_hash> parts{};
+        bool isPart = false;
         std::uint32_t forRelays = 0; ///< messages that are still to contain it
         std::uint32_t forMembers = 0;
 
--- a/packages/fleet/lib/crash_news.cpp
+++ b/packages/fleet/lib/crash_news.cpp
@@ -23,6 +23,8 @@
     one.at = news.at;
     one.isAcquitted = one.isAcquitted || news.isAcquitted;
     one.isTrial = one.isTrial || news.isTrial;
+    one.parts = news.parts;
+    one.isPart = news.isPart;
     one.forRelays = toRelays ? messagesPerItem : one.forRelays;
     one.forMembers = messagesPerItem;
 }
@@ -30,14 +32,14 @@
 void crash_outbox::add(instant now, const crash_news &news, bool toRelays)
 {
     for (const crash_report &one : news.reports) {
-        put({one.fingerprint, one.target}, {now - one.age, one.isAcquitted, one.isTrial}, toRelays);
+        put({one.fingerprint, one.target}, {now - one.age, one.isAcquitted, one.isTrial, one.parts, one.isPart}, toRelays);
     }
     for (const quarantine_report &one : news.quarantines) {
         put({one.fingerprint, target_id()}, {now + one.left}, toRelays);
     }
     for (const trial_claim &one : news.trials) {
         if (m_trials.size() < maxItems || m_trials.contains(one.service)) {
-            m_trials[one.service] = {{now - one.age, false, false, toRelays ? messagesPerItem : 0, messagesPerItem}, one};
+            m_trials[one.service] = {{now - one.age, false, false, {}, false, toRelays ? messagesPerItem : 0, messagesPerItem}, one};
         }
     }
 }
@@ -63,8 +65,8 @@
         item &one = entry->second;
         one.left(on) -= 1;
         if (!target.empty()) {
-            news.reports.push_back(
-                {fingerprint, target, one.isAcquitted, std::chrono::duration_cast<milliseconds>(now - one.at), one.isTrial});
+            const auto age = std::chrono::duration_cast<milliseconds>(now - one.at);
+            news.reports.push_back({fingerprint, target, one.isAcquitted, age, one.isTrial, one.parts, one.isPart});
         } else if (one.at > now) {
             news.quarantines.push_back({fingerprint, std::chrono::ceil<milliseconds>(one.at - now)});
         }
--- a/packages/fleet/lib/messages.cpp
+++ b/packages/fleet/lib/messages.cpp
@@ -244,16 +244,32 @@
 
 json encodeCrashReport(const crash_report &one)
 {
-    return json::array({one.fingerprint.value(), one.target.text(), one.isAcquitted, one.age.count(), one.isTrial});
+    json encoded = json::array({one.fingerprint.value(), one.target.text(), one.isAcquitted, one.age.count(), one.isTrial});
+    if (one.isPart || !one.parts.empty()) {
+        json parts = json::array();
+        for (const content_hash part : one.parts) {
+            parts.push_back(part.value());
+        }
+        encoded.push_back(one.isPart);
+        encoded.push_back(std::move(parts));
+    }
+    return encoded;
 }
 
 crash_report decodeCrashReport(const json &one)
 {
-    return {content_hash(one.at(0).get<std::uint64_t>()),
-            target_id(one.at(1).get<std::string>()),
-            one.at(2).get<bool>(),
-            decodeTime(one.at(3), maxQuarantine),
-            one.size() > 4 && one.at(4).get<bool>()};
+    crash_report report{content_hash(one.at(0).get<std::uint64_t>()),
+                        target_id(one.at(1).get<std::string>()),
+                        one.at(2).get<bool>(),
+                        decodeTime(one.at(3), maxQuarantine),
+                        one.size() > 4 && one.at(4).get<bool>()};
+    if (one.size() > 6) { // earlier builds know no parts
+        report.isPart = one.at(5).get<bool>();
+        for (const json &part : one.at(6)) {
+            report.parts.emplace_back(part.get<std::uint64_t>());
+        }
+    }
+    return report;
 }
 
 json encodeQuarantine(const quarantine_report &one)
--- a/packages/fleet/unittests/messages_test.cpp
+++ b/packages/fleet/unittests/messages_test.cpp
@@ -95,6 +95,17 @@
     EXPECT_LE(read.crashes.quarantines.front().left, std::chrono::hours(24));
 }
 
+TEST(messages, crashReportsCarryPartsOfPrompts)
+{
+    peer_digest digest = sampleDigest();
+    crash_report accused{content_hash(1), target_id("e1"), false, milliseconds(5), true};
+    accused.parts = {content_hash(7), content_hash(8)};
+    crash_report acquitted{content_hash(7), target_id("e1"), true, milliseconds(5)};
+    acquitted.isPart = true;
+    digest.crashes.reports = {accused, acquitted};
+    EXPECT_EQ(decodeDatagram(encodeDigest(digest)), peer_datagram(digest));
+}
+
 /// VMs of a release without trials send shorter reports, and no list of claims.
 TEST(messages, crashNewsOfEarlierReleasesAreRead)
 {
--- a/packages/gateway/include/fuchsialoom/gateway/gateway.h
+++ b/packages/gateway/include/fuchsialoom/gateway/gateway.h
@@ -153,7 +153,7 @@
 struct unconfirmed_failure
 {
     bool isRefused = false;
-    std::set<content_hash> trials; ///< that broke off there
+    std::set<crash_subjects> trials; ///< that broke off there
 };
 
 class gateway
@@ -355,10 +355,13 @@
     service_facts serviceFactsOf(const target_id &target) const;
     /// The request of \p ex ran to its end, or has run for a while, so it crashes no target.
     void acquit(const exchange &ex);
+    /// The same for the parts of its prompt.
+    void acquitParts(const exchange &ex);
+    void logAcquittals(const exchange &ex, const crash_news &news);
     /// Claims the turn to send the suspected request of \p ex. \return nothing while another request has it.
     std::optional<trial_claim> claimTrial(const exchange &ex);
     /// A trial at \p target ended without an answer, and the target is dead or out of reach.
-    void trialBroke(content_hash fingerprint, const target_id &target);
+    void trialBroke(const crash_subjects &subjects, const target_id &target);
     void releaseTrial(const trial_claim &claim);
     /// Answers queued requests that are suspected by now, rather than when it is their turn.
     void endQueuedSuspects();
@@ -379,7 +382,7 @@
     target_pool m_pool;
     connection_pool m_links;
     crash_evidence m_crashes;
-    std::map<target_id, std::set<content_hash>> m_probed; ///< targets with an open probe, and the trials that broke off there
+    std::map<target_id, std::set<crash_subjects>> m_probed; ///< targets with an open probe, and the trials that broke off there
     path_watch m_paths;
     std::map<target_id, unconfirmed_failure> m_unconfirmed; ///< until the path is known to be whole or lost
     asio::steady_timer m_pathTimer;
@@ -390,6 +393,7 @@
     std::size_t m_passedOnOpen = 0; ///< requests of other VMs in progress
     suspect_trials m_trials;
     std::uint64_t m_quarantineRefusals = 0;
+    std::uint64_t m_partRefusals = 0; ///< of these, for a part of the prompt
     std::uint64_t m_suspectRefusals = 0;
     std::uint64_t m_trialCount = 0; ///< sent by this VM
     admission_queue m_queue;
--- a/packages/gateway/lib/crash_evidence.cpp
+++ b/packages/gateway/lib/crash_evidence.cpp
@@ -2,7 +2,10 @@
 /// Weighs reports of requests at targets that died.
 #include "fuchsialoom/gateway/crash_evidence.h"
 
+#include "crash_rules.h"
+
 #include <algorithm>
+#include <utility>
 
 namespace fuchsialoom
 {
@@ -10,41 +13,19 @@
 /// Messages repeat a report for a shorter time.
 static constexpr milliseconds retractionMemory{5000};
 static constexpr std::size_t deathsToQuarantine = 3;
-/// Deaths after which a request is held back. One may be chance; the retry of a request that died with its target meets a
-/// second only in a wave of crashes, or if it is the cause.
-static constexpr std::size_t deathsToSuspect = 2;
-/// The same for a request that was suspected before and has completed since, but seldom: it may crash targets only at times.
-static constexpr std::size_t deathsToSuspectAgain = 1;
-/// Time after a death for which a suspected request isn't sent. Covers the reports and their settling, so that a trial
-/// never overtakes the verdict, and fits into the time that callers have for another try.
-static constexpr milliseconds holdTime{1000};
-/// Hold time after a trial that broke off amid other deaths: longer than most waves of crashes.
-static constexpr milliseconds holdTimeAfterTrial{8000};
-/// Trials that broke off after which a request is quarantined, however likely chance is.
-static constexpr std::size_t brokenTrialsToQuarantine = 2;
 /// Accepted probability that a request was at all of its deaths by chance.
 static constexpr double maxChance = 1e-5;
-/// Lower bound of the chance at one death, however lonely: one target in twenty dies, and one in five of the requests there
-/// is about to begin.
-static constexpr double minChance = 0.01;
-/// Deaths at most this far before count as one wave with a death. A wave is reported within tens of milliseconds, but a
-/// rolling restart takes a second for each target.
-static constexpr milliseconds waveBefore{1000};
-/// Time after a death in which the reports of its wave arrive from all VMs.
-static constexpr milliseconds settleTime{500};
-/// A trial runs for a moment, so only a death found within this time of its end, before or after, may explain that end.
-static constexpr milliseconds trialWave{250};
-/// Quarantine after a trial that ended beside other deaths, but not at the same moment. Longer than waves of crashes that follow
-/// each other.
-static constexpr milliseconds shortQuarantine{60 * 1000};
+/// Ends that differ by less are the same end, told by different ways.
+static constexpr milliseconds sameEnd{500};
 /// A request that comes again does so within this time, or is judged anew. Six times the longest quarantine in use, so
 /// that one death after a quarantine is enough for the next.
 static constexpr milliseconds chargeMemory{3600 * 1000};
 static constexpr milliseconds reportMemory{600 * 1000};
 static constexpr std::size_t maxReports = 4096;
 static constexpr std::size_t maxDeaths = 4096;
-/// Reports weighed in one call, so that the event loop isn't held up where very many targets die at once.
-static constexpr std::size_t maxWeighedAtOnce = 256;
+/// A target that died is found dead within this time after its connections broke.
+static constexpr seconds brokenMemory{30};
+static constexpr std::size_t maxBroken = 4096;
 /// In news: a death of which no request is suspected. It only counts against the suspicion of others.
 static constexpr content_hash noRequest{0};
 
@@ -54,57 +35,6 @@
 {
 }
 
-template<typename Map, typename Visit>
-void crash_evidence::forReportsOf(Map &reports, content_hash fingerprint, Visit visit)
-{
-    auto one = reports.lower_bound({fingerprint, target_id()});
-    for (; one != reports.end() && one->first.first == fingerprint; ++one) {
-        visit(one->first.second, one->second);
-    }
-}
-
-crash_evidence::report_tally crash_evidence::tallyOf(content_hash fingerprint) const
-{
-    report_tally tally;
-    const auto completed = m_completed.find(fingerprint);
-    tally.completed = completed == m_completed.end() ? 0 : completed->second;
-    forReportsOf(m_reports, fingerprint, [&tally](const target_id &, const report_state &state) {
-        tally.hasOwn = tally.hasOwn || state.isOwn;
-        if (state.isAcquitted) {
-            tally.acquitted += 1;
-            return;
-        }
-        tally.deaths += 1;
-        tally.trials += state.isTrial ? 1 : 0;
-        tally.latestAt = std::max(tally.latestAt, state.diedAt);
-    });
-    return tally;
-}
-
-bool crash_evidence::report_tally::isDoubtful() const
-{
-    return acquitted >= deathsToSuspect && completed < reports();
-}
-
-void crash_evidence::updateSuspect(content_hash fingerprint)
-{
-    const report_tally tally = tallyOf(fingerprint);
-    if (tally.deaths >= (tally.isDoubtful() ? deathsToSuspectAgain : deathsToSuspect)) {
-        m_suspects.insert_or_assign(fingerprint, tally.latestAt + (tally.trials > 0 ? holdTimeAfterTrial : holdTime));
-    } else {
-        m_suspects.erase(fingerprint);
-    }
-    if (tally.reports() == 0) {
-        m_completed.erase(fingerprint);
-    }
-}
-
-std::optional<instant> crash_evidence::heldUntil(content_hash fingerprint) const
-{
-    const auto found = m_suspects.find(fingerprint);
-    return found == m_suspects.end() ? std::nullopt : std::optional(found->second);
-}
-
 bool crash_evidence::noteDeath(const target_id &target, instant diedAt)
 {
     if (m_deaths.size() >= maxDeaths && !m_deaths.contains(target)) {
@@ -115,7 +45,20 @@
     return m_deaths.try_emplace(target, diedAt).second;
 }
 
-crash_evidence::report_state *crash_evidence::addReport(instant now, const crash_report &report)
+void crash_evidence::makeRoomForReport()
+{
+    if (m_reports.size() < maxReports) {
+        return;
+    }
+    const auto oldest = std::ranges::min_element(m_reports, {}, [](const auto &entry) {
+        return entry.second.forgetAt;
+    });
+    const content_hash forgotten = oldest->first.first;
+    m_reports.erase(oldest);
+    updateSuspect(forgotten);
+}
+
+crash_evidence::report_state *crash_evidence::addOneReport(instant now, const crash_report &report, bool isPart)
 {
     const report_key key{report.fingerprint, report.target};
     const auto known = m_reports.find(key);
@@ -128,43 +71,97 @@
         updateSuspect(report.fingerprint);
         return &known->second;
     }
-    if (m_reports.size() >= maxReports) {
-        const auto oldest = std::ranges::min_element(m_reports, {}, [](const auto &entry) {
-            return entry.second.forgetAt;
-        });
-        const content_hash forgotten = oldest->first.first;
-        m_reports.erase(oldest);
-        updateSuspect(forgotten);
-    }
+    makeRoomForReport();
     report_state &state = m_reports[key];
     state.diedAt = now - report.age;
     state.forgetAt = state.diedAt + reportMemory;
+    state.isPart = isPart;
     state.isAcquitted = report.isAcquitted;
     state.isTrial = report.isTrial;
+    state.beside = report.parts;
     noteDeath(report.target, state.diedAt);
     updateSuspect(report.fingerprint);
     return &state;
 }
 
-void crash_evidence::attemptBroke(instant now, const request_id &request, content_hash fingerprint, const target_id &target)
+crash_evidence::report_state *crash_evidence::addReport(instant now, const crash_report &report, crash_news &excuses)
+{
+    if (!addOneReport(now, report, false)) {
+        return nullptr;
+    }
+    if (!report.isAcquitted) {
+        for (const content_hash part : report.parts) {
+            addPartReport(now, report, part, excuses);
+        }
+    }
+    // Its parts may have taken the room of a report that is old already.
+    const auto added = m_reports.find({report.fingerprint, report.target});
+    return added == m_reports.end() ? nullptr : &added->second;
+}
+
+void crash_evidence::addPartReport(instant now, const crash_report &report, content_hash part, crash_news &excuses)
+{
+    std::vector<content_hash> beside = crash_subjects{report.fingerprint, report.parts}.all();
+    std::erase(beside, part);
+    const bool isNew = !m_reports.contains({part, report.target});
+    addOneReport(now, {part, report.target, false, report.age, report.isTrial, beside}, true);
+    report_state &state = m_reports.at({part, report.target});
+    std::erase_if(state.beside, [&beside](content_hash other) {
+        return std::ranges::find(beside, other) == beside.end();
+    });
+    if (isNew && m_soundParts.excusesDeath(now, part)) {
+        state.isAcquitted = true;
+        updateSuspect(part);
+        excuses.reports.push_back({part, report.target, true, report.age, report.isTrial, {}, true});
+    }
+}
+
+bool crash_evidence::addPartAcquittal(instant now, const crash_report &report)
+{
+    const auto known = m_reports.find({report.fingerprint, report.target});
+    if (known != m_reports.end()) {
+        const bool isNews = !known->second.isAcquitted;
+        known->second.isAcquitted = true;
+        updateSuspect(report.fingerprint);
+        return isNews;
+    }
+    addOneReport(now, report, true);
+    m_soundParts.excusesDeath(now, report.fingerprint); // counts it
+    return true;
+}
+
+void crash_evidence::attemptBroke(instant now, const crash_subjects &subjects, const target_id &target)
 {
-    m_quarantine.remember(now, broken_attempt{request, fingerprint, target, {}, {}});
+    if (m_broken.size() >= maxBroken) {
+        m_broken.erase(m_broken.begin());
+    }
+    m_broken.push_back({subjects, target, now + brokenMemory});
 }
 
-crash_news crash_evidence::trialBroke(instant now, content_hash fingerprint, const target_id &target)
+std::vector<crash_evidence::broken_request> crash_evidence::takeBroken(const target_id &target)
 {
-    const crash_report report{fingerprint, target, false, milliseconds(0), true};
+    const auto kept = std::stable_partition(m_broken.begin(), m_broken.end(), [&target](const broken_request &one) {
+        return one.target != target;
+    });
+    std::vector<broken_request> taken(kept, m_broken.end());
+    m_broken.erase(kept, m_broken.end());
+    return taken;
+}
+
+crash_news crash_evidence::trialBroke(instant now, const crash_subjects &subjects, const target_id &target)
+{
+    const crash_report report{subjects.request, target, false, milliseconds(0), true, subjects.parts};
     crash_news news;
-    if (report_state *state = addReport(now, report)) {
+    if (report_state *state = addReport(now, report, news)) {
         state->isOwn = true;
-        news.reports.push_back(report);
+        news.reports.insert(news.reports.begin(), report);
     }
     return news;
 }
 
 void crash_evidence::targetAnswered(const target_id &target)
 {
-    m_quarantine.takeBroken(target, {});
+    takeBroken(target);
 }
 
 void crash_evidence::retract(instant now, const target_id &target)
@@ -192,41 +189,80 @@
 {
     noteDeath(target, now);
     crash_news news;
-    for (const broken_attempt &broken : m_quarantine.takeBroken(target, {})) {
-        const crash_report report{broken.fingerprint, target};
-        if (report_state *state = addReport(now, report)) {
+    for (const broken_request &broken : takeBroken(target)) {
+        const crash_report report{broken.subjects.request, target, false, milliseconds(0), false, broken.subjects.parts};
+        crash_news excuses;
+        if (report_state *state = addReport(now, report, excuses)) {
             state->isOwn = true;
             news.reports.push_back(report);
+            news.reports.insert(news.reports.end(), excuses.reports.begin(), excuses.reports.end());
+        }
+        for (const content_hash subject : broken.subjects.all()) {
+            const auto found = m_reports.find({subject, target});
+            if (found != m_reports.end()) {
+                found->second.isDeathSeen = true;
+                found->second.isOwn = true;
+            }
         }
-        m_reports.at({broken.fingerprint, target}).isDeathSeen = true;
     }
     return news;
 }
 
+std::vector<crash_report> crash_evidence::acquit(instant now, content_hash subject)
+{
+    std::vector<crash_report> acquittals;
+    forReportsOf(m_reports, subject, [&](const target_id &target, report_state &state) {
+        if (!state.isAcquitted) {
+            state.isAcquitted = true;
+            const auto age = std::chrono::duration_cast<milliseconds>(now - state.diedAt);
+            acquittals.push_back({subject, target, true, age, state.isTrial, {}, state.isPart});
+        }
+    });
+    if (!acquittals.empty()) {
+        m_quarantine.clear(subject);
+        updateSuspect(subject);
+    }
+    return acquittals;
+}
+
 crash_news crash_evidence::completed(instant now, content_hash fingerprint)
 {
-    crash_news news;
+    std::erase_if(m_broken, [fingerprint](const broken_request &one) {
+        return one.subjects.request == fingerprint;
+    });
     if (tallyOf(fingerprint).reports() == 0) {
-        return news;
+        return {};
     }
     m_completed[fingerprint] += 1;
     if (tallyOf(fingerprint).isDoubtful()) {
-        return news;
+        return {};
     }
-    forReportsOf(m_reports, fingerprint, [&](const target_id &target, report_state &state) {
-        if (!state.isAcquitted) {
-            state.isAcquitted = true;
-            const auto age = std::chrono::duration_cast<milliseconds>(now - state.diedAt);
-            news.reports.push_back({fingerprint, target, true, age, state.isTrial});
-        }
-    });
-    if (!news.isEmpty()) {
-        m_quarantine.clear(fingerprint);
-        updateSuspect(fingerprint);
+    return {.reports = acquit(now, fingerprint)};
+}
+
+crash_news crash_evidence::partsRan(instant now, const std::vector<content_hash> &parts)
+{
+    crash_news news;
+    for (const content_hash part : parts) {
+        m_soundParts.noteRun(now, part);
+        const std::vector<crash_report> acquittals = acquit(now, part);
+        news.reports.insert(news.reports.end(), acquittals.begin(), acquittals.end());
     }
     return news;
 }
 
+bool crash_evidence::acquitRequest(const crash_report &report)
+{
+    report_state &state = m_reports.at({report.fingerprint, report.target});
+    if (!report.isAcquitted || state.isAcquitted) {
+        return false;
+    }
+    state.isAcquitted = true;
+    m_quarantine.clear(report.fingerprint);
+    updateSuspect(report.fingerprint);
+    return true;
+}
+
 crash_news crash_evidence::learn(instant now, const crash_news &news)
 {
     crash_news unknown;
@@ -235,28 +271,22 @@
         if (retracted != m_retracted.end() && now < retracted->second) {
             continue;
         }
+        bool isNews = false;
         if (report.fingerprint == noRequest) {
-            if (noteDeath(report.target, now - report.age)) {
-                unknown.reports.push_back(report);
-            }
-            continue;
-        }
-        if (addReport(now, report)) {
-            unknown.reports.push_back(report);
-            continue;
+            isNews = noteDeath(report.target, now - report.age);
+        } else if (report.isPart) {
+            isNews = addPartAcquittal(now, report);
+        } else {
+            isNews = addReport(now, report, m_excuses) || acquitRequest(report);
         }
-        report_state &state = m_reports.at({report.fingerprint, report.target});
-        if (report.isAcquitted && !state.isAcquitted) {
-            state.isAcquitted = true;
-            m_quarantine.clear(report.fingerprint);
-            updateSuspect(report.fingerprint);
+        if (isNews) {
             unknown.reports.push_back(report);
         }
     }
     for (const quarantine_report &one : news.quarantines) {
         const std::optional<instant> before = m_quarantine.until(now, one.fingerprint);
-        // Ends that differ by a message's way are the same end; without this, VMs would repeat it to each other for ever.
-        const bool isLater = !before || now + one.left > *before + settleTime;
+        // Without this, VMs would repeat an end to each other for ever.
+        const bool isLater = !before || now + one.left > *before + sameEnd;
         if (isLater && m_quarantine.learn(now, one.fingerprint, now + one.left)) {
             unknown.quarantines.push_back(one);
         }
@@ -272,7 +302,11 @@
         const auto &[fingerprint, target] = key;
         reported.insert(target);
         const auto age = std::chrono::duration_cast<milliseconds>(now - state.diedAt);
-        news.reports.push_back({fingerprint, target, state.isAcquitted, age, state.isTrial});
+        if (!state.isPart) {
+            news.reports.push_back({fingerprint, target, state.isAcquitted, age, state.isTrial, state.beside});
+        } else if (state.isAcquitted) {
+            news.reports.push_back({fingerprint, target, true, age, state.isTrial, {}, true});
+        }
     }
     for (const auto &[target, diedAt] : m_deaths) {
         if (!reported.contains(target)) {
@@ -287,108 +321,6 @@
     return news;
 }
 
-crash_evidence::cause_map crash_evidence::knownCauses() const
-{
-    cause_map causes;
-    for (const auto &[key, state] : m_reports) {
-        const auto &[fingerprint, target] = key;
-        if (m_quarantine.ends().contains(fingerprint) || (state.isTrial && !state.isAcquitted)) {
-            causes[target].insert(fingerprint);
-        }
-    }
-    return causes;
-}
-
-/// Whether a likely cause other than \p except was at \p target.
-static bool isExplained(const std::map<target_id, std::set<content_hash>> &causes, const target_id &target, content_hash except)
-{
-    const auto found = causes.find(target);
-    return found != causes.end() && (found->second.size() > 1 || !found->second.contains(except));
-}
-
-double crash_evidence::chanceOf(const report_key &key, const wave_span &span, const death_context &context) const
-{
-    const auto &[fingerprint, target] = key;
-    const instant diedAt = m_reports.at(key).diedAt;
-    const auto factsOf = [&context](const target_id &one) {
-        return context.lookup ? context.lookup(one) : service_facts();
-    };
-    const service_facts facts = factsOf(target);
-    std::size_t others = 0;
-    for (const auto &[other, at] : m_deaths) {
-        const bool isNear = at >= diedAt - span.before && at <= diedAt + span.after;
-        if (!isNear || m_reports.contains({fingerprint, other}) || isExplained(context.causes, other, fingerprint)) {
-            continue;
-        }
-        const service_facts otherFacts = factsOf(other);
-        others += facts.targets == 0 || otherFacts.targets == 0 || otherFacts.service == facts.service ? 1 : 0;
-    }
-    const std::size_t targets = std::max<std::size_t>(facts.targets > 0 ? facts.targets : context.targets, 1);
-    return std::clamp(static_cast<double>(others) / static_cast<double>(targets), minChance, 1.0);
-}
-
-quarantine_verdict crash_evidence::verdictOn(content_hash fingerprint, instant until) const
-{
-    const report_tally tally = tallyOf(fingerprint);
-    return {fingerprint, until, tally.deaths, tally.trials, tally.hasOwn};
-}
-
-std::optional<instant> crash_evidence::convict(instant now, content_hash fingerprint, milliseconds length)
-{
-    const instant until = now + length;
-    return m_quarantine.learn(now, fingerprint, until) ? std::optional(until) : std::nullopt;
-}
-
-std::optional<instant> crash_evidence::weighReport(instant now, const report_key &key, const death_context &context)
-{
-    const auto &[fingerprint, target] = key;
-    const report_state &state = m_reports.at(key);
-    const bool hasOtherCause = isExplained(context.causes, target, fingerprint);
-    const double chance = chanceOf(key, {waveBefore, settleTime}, context);
-    if (state.isTrial) {
-        const bool isOnlyCause = state.isDeathSeen && !hasOtherCause;
-        if ((isOnlyCause && chance <= minChance) || tallyOf(fingerprint).trials >= brokenTrialsToQuarantine) {
-            return convict(now, fingerprint, m_quarantineLength);
-        }
-        if (isOnlyCause && chanceOf(key, {trialWave, trialWave}, context) <= minChance) {
-            return convict(now, fingerprint, std::min(shortQuarantine, m_quarantineLength));
-        }
-    }
-    if (hasOtherCause) {
-        return std::nullopt;
-    }
-    const double atLeast = context.lookup ? context.lookup(target).loneChance : 0;
-    const auto until = m_quarantine.accuse(now, fingerprint, target, {}, false, std::max(chance, atLeast));
-    m_weighed.push_back({fingerprint, target, m_quarantine.accusationsOf(fingerprint).size(), std::max(chance, atLeast)});
-    return until;
-}
-
-std::vector<quarantine_verdict> crash_evidence::weigh(instant now, std::size_t targets, const service_lookup &lookup)
-{
-    std::vector<quarantine_verdict> verdicts;
-    std::optional<cause_map> causes;
-    std::size_t weighed = 0;
-    m_weighed.clear();
-    for (auto &[key, state] : m_reports) {
-        if (weighed >= maxWeighedAtOnce) {
-            break;
-        }
-        if (state.isWeighed || state.isAcquitted || now < state.diedAt + settleTime) {
-            continue;
-        }
-        state.isWeighed = true;
-        weighed += 1;
-        if (!causes) {
-            causes = knownCauses();
-        }
-        if (const std::optional<instant> until = weighReport(now, key, {targets, lookup, *causes})) {
-            verdicts.push_back(verdictOn(key.first, *until));
-            causes.reset();
-        }
-    }
-    return verdicts;
-}
-
 std::vector<content_hash> crash_evidence::expire(instant now)
 {
     std::set<content_hash> forgotten;
@@ -405,6 +337,9 @@
     std::erase_if(m_deaths, [now](const auto &entry) {
         return entry.second + reportMemory <= now;
     });
+    std::erase_if(m_broken, [now](const broken_request &one) {
+        return one.forgetAt <= now;
+    });
     return m_quarantine.expire(now);
 }
 
--- a/packages/gateway/lib/exchange.cpp
+++ b/packages/gateway/lib/exchange.cpp
@@ -133,6 +133,22 @@
     return *m_fingerprint;
 }
 
+const std::vector<content_hash> &exchange::promptParts() const
+{
+    if (!m_promptParts) {
+        m_promptParts.emplace();
+        for (const std::string &part : m_facts.sharedParts) {
+            m_promptParts->push_back(partFingerprint(part));
+        }
+    }
+    return *m_promptParts;
+}
+
+crash_subjects exchange::subjects() const
+{
+    return {fingerprint(), promptParts()};
+}
+
 std::string exchange::callerName() const
 {
     if (m_team && !m_team->empty()) {
@@ -207,7 +223,7 @@
         m_gateway.addShutdownFields(line, now, *this);
     }
     if (why == refusal::Quarantined || why == refusal::Suspected) {
-        line.with("fingerprint", textOf(fingerprint()));
+        line.with("fingerprint", textOf(fingerprint())).with("parts", textOf(promptParts()));
     }
     m_gateway.m_log.writeRequest(now, line);
     header_list headers;
@@ -224,15 +240,16 @@
         return false;
     }
     const instant now = loopNow();
-    const std::optional<instant> until = m_gateway.m_crashes.until(now, fingerprint());
-    if (!until) {
+    const std::optional<quarantine_match> match = m_gateway.m_crashes.quarantineOf(now, subjects());
+    if (!match) {
         return false;
     }
     m_gateway.m_quarantineRefusals += 1;
+    m_gateway.m_partRefusals += match->subject != fingerprint() ? 1 : 0;
     if (m_history.mayHaveRun || m_streamStarted) {
         failRequest(statusFailed, nameOf(refusal::Quarantined));
     } else {
-        refuse(refusal::Quarantined, std::chrono::ceil<milliseconds>(*until - now));
+        refuse(refusal::Quarantined, std::chrono::ceil<milliseconds>(match->until - now));
     }
     return true;
 }
@@ -240,7 +257,7 @@
 bool exchange::endIfSuspected()
 {
     const bool anySuspects = m_gateway.m_crashes.hasSuspects();
-    const std::optional<instant> heldUntil = anySuspects ? m_gateway.m_crashes.heldUntil(fingerprint()) : std::nullopt;
+    const std::optional<instant> heldUntil = anySuspects ? m_gateway.m_crashes.heldUntil(subjects()) : std::nullopt;
     if (!heldUntil) {
         endTrial();
         return false;
@@ -367,6 +384,7 @@
     if (result == "answered") {
         m_gateway.m_counters.answered += 1;
         m_gateway.acquit(*this);
+        m_gateway.acquitParts(*this);
         if (m_attemptNumber == 1 && !m_needsPeer) {
             recordRun();
         }
--- a/packages/gateway/lib/exchange.h
+++ b/packages/gateway/lib/exchange.h
@@ -84,6 +84,10 @@
     }
     /// See fingerprintOf(); computed on the first call.
     content_hash fingerprint() const;
+    /// Fingerprints of the parts of its prompt that others may share.
+    const std::vector<content_hash> &promptParts() const;
+    /// What a crash at this request may be blamed on.
+    crash_subjects subjects() const;
     bool isDone() const
     {
         return m_done;
@@ -227,6 +231,7 @@
     std::optional<team_id> m_team; ///< set if the configuration has teams; empty: none, on a public route
     std::uint64_t m_cost = 0; ///< spent of the team's quota
     mutable std::optional<content_hash> m_fingerprint; ///< set by fingerprint()
+    mutable std::optional<std::vector<content_hash>> m_promptParts; ///< set by promptParts()
     std::optional<trial_claim> m_trial; ///< set while the request is suspected; may have lapsed
     instant m_arrivedAt;
     microseconds m_queueTime{0}; ///< from the arrival to the first attempt
@@ -250,6 +255,7 @@
     bool m_streamStarted = false; ///< the stream's head was sent to the caller
     bool m_countedInDemand = false; ///< included in the demand of its model
     bool m_running = false;
+    bool m_hasBegun = false; ///< its targets weren't crashed by the beginning of its run
     bool m_done = false;
 };
 
--- a/packages/gateway/lib/exchange_attempts.cpp
+++ b/packages/gateway/lib/exchange_attempts.cpp
@@ -228,6 +228,10 @@
         m_gapMs = std::max(m_gapMs, static_cast<std::uint64_t>(gap.count()));
     }
     m_attempt->lastEventAt = now;
+    if (!m_hasBegun && !isBeginning(*m_attempt, now)) {
+        m_hasBegun = true;
+        m_gateway.acquitParts(*this);
+    }
     if (m_trial && !isBeginning(*m_attempt, now)) {
         m_gateway.acquit(*this);
         endTrial();
@@ -408,7 +412,8 @@
                                      .with("events", one.scanner.count())
                                      .with("unfinished-bytes", one.scanner.rest().size())
                                      .with("fingerprint", textOf(fingerprint()))
-                                     .with("parts", m_facts.partsText())
+                                     .with("parts", textOf(promptParts()))
+                                     .with("part-ids", m_facts.partsText())
                                      .with("after-ms", std::chrono::duration_cast<milliseconds>(now - one.sentAt)));
 }
 
--- a/packages/gateway/lib/exchange_silence.cpp
+++ b/packages/gateway/lib/exchange_silence.cpp
@@ -82,8 +82,8 @@
 bool exchange::isSuspectedNow(instant now) const
 {
     const crash_evidence &crashes = m_gateway.m_crashes;
-    return m_trial || (crashes.hasSuspects() && crashes.heldUntil(fingerprint()))
-        || (crashes.hasQuarantines() && crashes.until(now, fingerprint()));
+    return m_trial || (crashes.hasSuspects() && crashes.heldUntil(subjects()))
+        || (crashes.hasQuarantines() && crashes.quarantineOf(now, subjects()));
 }
 
 takeover_verdict exchange::judgeTakeoverNow(instant now) const
--- a/packages/gateway/lib/gateway_path.cpp
+++ b/packages/gateway/lib/gateway_path.cpp
@@ -61,8 +61,8 @@
         if (!found) {
             continue;
         }
-        for (const content_hash fingerprint : found.mapped().trials) {
-            trialBroke(fingerprint, target);
+        for (const crash_subjects &subjects : found.mapped().trials) {
+            trialBroke(subjects, target);
         }
         if (found.mapped().isRefused) {
             noteUnreachable(target);
--- a/packages/gateway/lib/gateway_quarantine.cpp
+++ b/packages/gateway/lib/gateway_quarantine.cpp
@@ -25,18 +25,18 @@
     if (!known || known->listed.leaving) {
         return; // it exits in order, and cuts off what still runs there
     }
-    const content_hash fingerprint = ex.fingerprint();
-    m_crashes.attemptBroke(loopNow(), ex.serial(), fingerprint, target);
+    const crash_subjects subjects = ex.subjects();
+    m_crashes.attemptBroke(loopNow(), subjects, target);
     if (known->unreachable) {
         if (ex.m_trial) {
-            trialBroke(fingerprint, target);
+            trialBroke(subjects, target);
         }
         reportDeath(target, death_source::Own);
         return;
     }
     const auto [probed, isNew] = m_probed.try_emplace(target);
     if (ex.m_trial) {
-        probed->second.insert(fingerprint);
+        probed->second.insert(subjects);
     }
     if (isNew) {
         probeListener(m_loop, tcpEndpointOf(known->listed.address), probeTimeout, [this, target](probe_result result) {
@@ -118,7 +118,11 @@
         m_log.write(loopNow(), log_line("target-died").with("target", target).with("by", source).with("accused", news.reports.size()));
     }
     for (const crash_report &report : news.reports) {
-        m_log.write(loopNow(), log_line("request-accused").with("fingerprint", textOf(report.fingerprint)).with("target", report.target));
+        m_log.write(loopNow(),
+                    log_line(report.isAcquitted ? "part-excused" : "request-accused")
+                        .with("fingerprint", textOf(report.fingerprint))
+                        .with("parts", textOf(report.parts))
+                        .with("target", report.target));
     }
     tellCrashNews(news);
     if (!news.isEmpty()) {
@@ -152,11 +156,15 @@
     }
 }
 
-void gateway::trialBroke(content_hash fingerprint, const target_id &target)
+void gateway::trialBroke(const crash_subjects &subjects, const target_id &target)
 {
-    const crash_news news = m_crashes.trialBroke(loopNow(), fingerprint, target);
+    const crash_news news = m_crashes.trialBroke(loopNow(), subjects, target);
     if (!news.isEmpty()) {
-        m_log.write(loopNow(), log_line("trial-broke").with("fingerprint", textOf(fingerprint)).with("target", target));
+        m_log.write(loopNow(),
+                    log_line("trial-broke")
+                        .with("fingerprint", textOf(subjects.request))
+                        .with("parts", textOf(subjects.parts))
+                        .with("target", target));
         tellCrashNews(news);
         endQueuedSuspects();
     }
@@ -196,6 +204,7 @@
                         .with("by", source)
                         .with("retry-after-ms", one.left));
     }
+    tellCrashNews(m_crashes.takeExcuses());
     if (!unknown.reports.empty()) {
         endQueuedSuspects();
     }
@@ -204,10 +213,20 @@
 
 void gateway::acquit(const exchange &ex)
 {
-    if (!m_crashes.hasReports()) {
-        return;
+    if (m_crashes.hasReports()) {
+        logAcquittals(ex, m_crashes.completed(loopNow(), ex.fingerprint()));
     }
-    const crash_news news = m_crashes.completed(loopNow(), ex.fingerprint());
+}
+
+void gateway::acquitParts(const exchange &ex)
+{
+    if (!ex.promptParts().empty()) {
+        logAcquittals(ex, m_crashes.partsRan(loopNow(), ex.promptParts()));
+    }
+}
+
+void gateway::logAcquittals(const exchange &ex, const crash_news &news)
+{
     for (const crash_report &report : news.reports) {
         m_log.write(loopNow(),
                     log_line("request-acquitted", ex.facts().id)
@@ -252,6 +271,7 @@
         m_log.write(now,
                     log_line("request-quarantined")
                         .with("fingerprint", textOf(verdict.fingerprint))
+                        .with("of", verdict.isPart ? "part" : "request")
                         .with("by", "reports")
                         .with("deaths", verdict.deaths)
                         .with("trials", verdict.trials)
@@ -273,6 +293,10 @@
                        "# TYPE fuchsialoom_quarantine_refusals_total counter\n"
                        "fuchsialoom_quarantine_refusals_total "
         + std::to_string(m_quarantineRefusals)
+        + "\n# HELP fuchsialoom_part_refusals_total of these, requests with a part in their prompts that crashed targets\n"
+          "# TYPE fuchsialoom_part_refusals_total counter\n"
+          "fuchsialoom_part_refusals_total "
+        + std::to_string(m_partRefusals)
         + "\n# HELP fuchsialoom_suspect_refusals_total requests refused because they were at several deaths of targets\n"
           "# TYPE fuchsialoom_suspect_refusals_total counter\n"
           "fuchsialoom_suspect_refusals_total "
@@ -286,12 +310,12 @@
           "fuchsialoom_suspects "
         + std::to_string(m_crashes.suspectCount())
         + "\n"
-          "# HELP fuchsialoom_crash_reports requests that were about to run at targets that died, one for each target\n"
+          "# HELP fuchsialoom_crash_reports requests and parts that were about to run at targets that died, one for each target\n"
           "# TYPE fuchsialoom_crash_reports gauge\n"
           "fuchsialoom_crash_reports "
         + std::to_string(m_crashes.reportCount())
         + "\n"
-          "# HELP fuchsialoom_quarantine_seconds_left time until a quarantine ends, by the request's fingerprint\n"
+          "# HELP fuchsialoom_quarantine_seconds_left time until a quarantine ends, by the fingerprint of the request or part\n"
           "# TYPE fuchsialoom_quarantine_seconds_left gauge\n";
     for (const auto &[fingerprint, until] : m_crashes.quarantines()) {
         const auto left = std::chrono::ceil<seconds>(until - now).count();
--- a/packages/gateway/lib/request_fingerprint.cpp
+++ b/packages/gateway/lib/request_fingerprint.cpp
@@ -23,6 +23,12 @@
     return content_hash(sha256Of(parts).prefix());
 }
 
+content_hash partFingerprint(std::string_view part)
+{
+    // A request's concatenation begins with a digit.
+    return content_hash(sha256Of(std::string("part:").append(part)).prefix());
+}
+
 std::string textOf(content_hash fingerprint)
 {
     std::array<char, 17> text{};
@@ -30,4 +36,13 @@
     return text.data();
 }
 
+std::string textOf(const std::vector<content_hash> &fingerprints)
+{
+    std::string text;
+    for (const content_hash one : fingerprints) {
+        text.append(text.empty() ? "" : ",").append(textOf(one));
+    }
+    return text.empty() ? "none" : text;
+}
+
 } // namespace fuchsialoom
--- a/packages/gateway/unittests/crash_evidence_test.cpp
+++ b/packages/gateway/unittests/crash_evidence_test.cpp
@@ -50,7 +50,7 @@
     /// \p target dies with \p fingerprint about to run there, sent by \p vm.
     void die(std::size_t vm, content_hash fingerprint, const target_id &target)
     {
-        m_vms[vm].attemptBroke(now, request_id("r"), fingerprint, target);
+        m_vms[vm].attemptBroke(now, fingerprint, target);
         tell(vm, m_vms[vm].targetDied(now, target));
     }
 
@@ -116,7 +116,7 @@
 
     bool isRefusedAt(std::size_t vm, content_hash fingerprint) const
     {
-        return m_vms[vm].until(now, fingerprint).has_value();
+        return m_vms[vm].quarantineOf(now, fingerprint).has_value();
     }
     bool isRefusedEverywhere(content_hash fingerprint) const
     {
@@ -184,7 +184,7 @@
 {
     crash_evidence evidence(quarantineLength);
     for (int attempt = 0; attempt < 10; ++attempt) {
-        evidence.attemptBroke(start, request_id("r"), innocent, numbered(attempt));
+        evidence.attemptBroke(start, innocent, numbered(attempt));
         evidence.targetAnswered(numbered(attempt));
         EXPECT_TRUE(evidence.targetDied(start + seconds(1), numbered(attempt)).isEmpty());
     }
@@ -287,7 +287,7 @@
     const crash_news news{{}, {{poison, quarantineLength}}};
     EXPECT_EQ(one.learn(start, news).quarantines.size(), 1U);
     EXPECT_TRUE(one.learn(start + milliseconds(80), news).isEmpty()) << "the same end, told by a slower way";
-    EXPECT_TRUE(one.until(start + quarantineLength - milliseconds(1), poison));
+    EXPECT_TRUE(one.quarantineOf(start + quarantineLength - milliseconds(1), poison));
     EXPECT_EQ(one.expire(start + quarantineLength).size(), 1U);
     EXPECT_FALSE(one.hasQuarantines());
     EXPECT_TRUE(one.known(start + quarantineLength).isEmpty());
@@ -298,7 +298,7 @@
     crash_evidence evidence(quarantineLength);
     for (std::uint64_t made = 1; made <= 20000; ++made) {
         const instant now = start + milliseconds(made);
-        evidence.attemptBroke(now, request_id("r"), content_hash(made), numbered(static_cast<int>(made)));
+        evidence.attemptBroke(now, content_hash(made), numbered(static_cast<int>(made)));
         evidence.targetDied(now, numbered(static_cast<int>(made)));
     }
     EXPECT_LE(evidence.reportCount(), 4096U);
@@ -395,7 +395,7 @@
         fleet.die(0, poison, numbered(death));
         fleet.pass(seconds(2));
     }
-    fleet.at(1).attemptBroke(fleet.now, request_id("r"), poison, numbered(6));
+    fleet.at(1).attemptBroke(fleet.now, poison, numbered(6));
     fleet.breakTrial(1, poison, numbered(6));
     fleet.at(1).targetDied(fleet.now, numbered(6));
     fleet.pass(seconds(1));
@@ -446,7 +446,7 @@
     };
     for (int death = 0; death < 3; ++death) {
         const instant now = start + seconds(2) * death;
-        evidence.attemptBroke(now, request_id("r"), poison, numbered(death));
+        evidence.attemptBroke(now, poison, numbered(death));
         evidence.targetDied(now, numbered(death));
         for (int other = 0; other < 4; ++other) {
             evidence.targetDied(now, target_id("o" + std::to_string(4 * death + other)));
--- a/packages/gateway/unittests/passing_on_test.cpp
+++ b/packages/gateway/unittests/passing_on_test.cpp
@@ -113,7 +113,7 @@
     const content_hash request(5);
     crash_evidence evidence(milliseconds(600000));
     for (const char *target : {"t1", "t2"}) {
-        evidence.attemptBroke(start, request_id("r"), request, target_id(target));
+        evidence.attemptBroke(start, request, target_id(target));
         evidence.targetDied(start, target_id(target));
     }
     const crash_news told = evidence.known(start);
