The queue of crash news builds with optimization: a false warning about uninitialized parts

The release build of the platform stops at -Wmaybe-uninitialized where a claim's item is assigned from braces; its fields are set one by one now.

--- a/packages/fleet/lib/crash_news.cpp
+++ b/packages/fleet/lib/crash_news.cpp
@@ -39,7 +39,11 @@
     }
     for (const trial_claim &one : news.trials) {
         if (m_trials.size() < maxItems || m_trials.contains(one.service)) {
-            m_trials[one.service] = {{now - one.age, false, false, {}, false, toRelays ? messagesPerItem : 0, messagesPerItem}, one};
+            trial_item &latest = m_trials[one.service];
+            latest.at = now - one.age;
+            latest.claim = one;
+            latest.forRelays = toRelays ? messagesPerItem : 0;
+            latest.forMembers = messagesPerItem;
         }
     }
 }
