Tests: one VM that most new connections reach, more than it can serve, red

A stand-in balancer hands nine of ten new connections to one of four VMs; each VM has a quota of processor time, after which it stands still until the period ends; callers open a connection for each request at a fixed rate.

--- a/tests/child_process.h
+++ b/tests/child_process.h
@@ -33,6 +33,10 @@
     ~child_process();
 
     void send(int signal) const;
+    pid_t id() const
+    {
+        return m_pid;
+    }
     /// kill -9, and waits until it is gone.
     void kill();
     /// Whether it has ended, without waiting.
--- /dev/null
+++ b/tests/platform_favoured_vm_test.cpp
@@ -0,0 +1,127 @@
+/// \file
+/// Most new connections reach one VM for a while, more than it can serve: what becomes of the first tries that it reads.
+#include "cpu_quota.h"
+#include "fake_balancer.h"
+#include "open_loop_callers.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <atomic>
+#include <chrono>
+#include <cstdio>
+#include <cstdlib>
+#include <fstream>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace fuchsialoom
+{
+
+namespace
+{
+
+using std::chrono::steady_clock;
+
+constexpr std::size_t vmCount = 4;
+constexpr double shareOfCore = 0.04;
+/// Spread over the VMs, half of what they can serve.
+constexpr double requestsPerSecond = 800;
+constexpr double favouredShare = 0.9;
+constexpr std::chrono::milliseconds calmTime{4000};
+constexpr std::chrono::milliseconds favouredTime{9000};
+/// From the beginning of the favour until VMs have to serve what they read.
+constexpr std::chrono::milliseconds settling{3000};
+
+class platform_favoured_vm : public testing::Test
+{
+protected:
+    struct shares
+    {
+        std::size_t read = 0;
+        std::size_t served = 0;
+        std::size_t unread = 0;
+
+        double served_share() const
+        {
+            return read == 0 ? 0 : static_cast<double>(served) / static_cast<double>(read);
+        }
+    };
+
+    static shares sharesOf(const std::vector<open_loop_result> &results, steady_clock::time_point from, steady_clock::time_point until)
+    {
+        shares counted;
+        for (const open_loop_result &one : results) {
+            if (one.at < from || one.at >= until) {
+                continue;
+            }
+            counted.unread += one.outcome == first_try::Unread ? 1 : 0;
+            counted.read += one.outcome == first_try::Unread ? 0 : 1;
+            counted.served += one.outcome == first_try::Served ? 1 : 0;
+        }
+        return counted;
+    }
+
+    void start()
+    {
+        m_world.configure(1);
+        for (const char *id : {"p1", "p2", "p3"}) {
+            m_world.addTarget({.id = id, .service = "plain", .isEngine = false, .slots = 200});
+        }
+        for (std::size_t vm = 0; vm < vmCount; ++vm) {
+            m_vms.push_back(m_world.startVm());
+        }
+        for (const std::string &vm : m_vms) {
+            ASSERT_TRUE(m_world.waitReady(vm));
+        }
+        std::this_thread::sleep_for(std::chrono::seconds(3)); // the VMs find each other
+        for (const std::string &vm : m_vms) {
+            m_quotas.push_back(std::make_unique<cpu_quota>(m_world.vm(vm), shareOfCore));
+        }
+    }
+
+    platform_world m_world;
+    std::vector<std::string> m_vms;
+    std::vector<std::unique_ptr<cpu_quota>> m_quotas; ///< end before the VMs
+};
+
+} // namespace
+
+TEST_F(platform_favoured_vm, servesTheFirstTriesThatItReads)
+{
+    start();
+    std::mutex mutex;
+    fake_balancer balancer(m_vms, 1);
+    open_loop_callers callers(m_world, [&](const std::string &tried) {
+        const std::scoped_lock lock(mutex);
+        return balancer.choose(tried);
+    });
+    std::atomic<bool> isOver = false;
+    const steady_clock::time_point begun = steady_clock::now();
+    std::thread platform([&] {
+        while (!isOver) {
+            std::this_thread::sleep_for(std::chrono::milliseconds(100));
+            const auto elapsed = steady_clock::now() - begun;
+            const std::scoped_lock lock(mutex);
+            balancer.favourOne(elapsed >= calmTime ? favouredShare : 0);
+        }
+    });
+    callers.run(requestsPerSecond, calmTime + favouredTime, {.path = "/get/", .model = "", .deadlineMs = 1000});
+    isOver = true;
+    platform.join();
+    const shares before = sharesOf(callers.results(), begun + std::chrono::seconds(1), begun + calmTime);
+    const shares favoured = sharesOf(callers.results(), begun + calmTime + settling, begun + calmTime + favouredTime);
+    std::printf("calm: read %zu, served %.3f; favoured: read %zu, served %.3f, unread %zu\n",
+                before.read,
+                before.served_share(),
+                favoured.read,
+                favoured.served_share(),
+                favoured.unread);
+    EXPECT_GT(favoured.read, 100U);
+    EXPECT_GE(favoured.served_share(), before.served_share() * 3 / 4);
+}
+
+} // namespace fuchsialoom
--- a/tests/platform_world.cpp
+++ b/tests/platform_world.cpp
@@ -220,6 +220,11 @@
     }
 }
 
+asio::ip::tcp::endpoint platform_world::callersOf(const std::string &name) const
+{
+    return endpointOf(m_vms.at(name).callers);
+}
+
 std::string platform_world::metricsAddressOf(const std::string &name) const
 {
     const std::string &reserved = m_vms.at(name).metrics;
--- a/tests/platform_world.h
+++ b/tests/platform_world.h
@@ -130,6 +130,9 @@
     bool isReady(const std::string &name);
     bool waitReady(const std::string &name);
 
+    /// Where the VM takes connections of callers.
+    asio::ip::tcp::endpoint callersOf(const std::string &name) const;
+
     /// HOST:PORT of the VM's metrics.
     std::string metricsAddressOf(const std::string &name) const;
 
