--- a/tests/prompt_part_scene.cpp
+++ b/tests/prompt_part_scene.cpp
@@ -93,6 +93,12 @@
     m_exemptions[vm].push_back({clock::now(), settledAt});
 }
 
+void prompt_part_scene::endExemption(const std::string &vm, clock::time_point settledAt)
+{
+    const std::scoped_lock lock(m_mutex);
+    m_exemptions[vm].back().until = settledAt;
+}
+
 bool prompt_part_scene::isExempt(const std::string &vm, clock::time_point at)
 {
     const std::scoped_lock lock(m_mutex);
--- a/tests/prompt_part_scene.h
+++ b/tests/prompt_part_scene.h
@@ -60,6 +60,8 @@
     void crashAnyTarget();
     /// From now until \p settledAt the sends of \p vm don't count, since it is disturbed.
     void exempt(const std::string &vm, clock::time_point settledAt);
+    /// Ends the latest exemption of \p vm at \p settledAt in place of the time given with it.
+    void endExemption(const std::string &vm, clock::time_point settledAt);
 
     /// Ends of targets under the part.
     std::size_t ends() const
