Idle connections of many callers don't keep new ones out of a VM

A VM takes as many connections as its descriptors allow and lets new ones wait beyond that. Where most new connections come to one VM, those that wait idle until their timeout fill it up, and its new callers wait for nothing. From half of that number on, answers ask callers to leave. A test with a limit of eight connections: without this, callers beyond the eighth got no answer.

--- a/packages/http/include/fuchsialoom/http/caller_link.h
+++ b/packages/http/include/fuchsialoom/http/caller_link.h
@@ -167,7 +167,8 @@
     /// \throws std::system_error when \p address can't be bound.
     caller_listener(asio::io_context &loop, const asio::ip::tcp::endpoint &address, caller_events events);
 
-    /// Connections count against \p most; beyond it new ones wait.
+    /// Connections count against \p most; beyond it new ones wait, and from half of it on callers are asked to leave with their next
+    /// answer.
     void start(std::size_t most);
     /// Takes the connections that callers have opened so far, and no more.
     void stopAccepting();
@@ -193,6 +194,8 @@
     asio::steady_timer m_retry;
     std::shared_ptr<const caller_events> m_events;
     std::vector<std::weak_ptr<caller_link>> m_links;
+    /// More than half of the connections that may be open are: their callers are asked to leave, as idle ones would keep new ones out.
+    std::shared_ptr<bool> m_isCrowded = std::make_shared<bool>(false);
     std::size_t m_most = 0;
     std::size_t m_sweepAt = 64; ///< closed links are forgotten when there are as many entries
     bool m_draining = false;
--- a/packages/http/lib/caller_link.cpp
+++ b/packages/http/lib/caller_link.cpp
@@ -548,8 +548,11 @@
 caller_listener::caller_listener(asio::io_context &loop, const asio::ip::tcp::endpoint &address, caller_events events)
     : m_acceptor(loop)
     , m_retry(loop)
-    , m_events(std::make_shared<const caller_events>(std::move(events)))
 {
+    events.sendsAway = [isCrowded = m_isCrowded, asked = std::move(events.sendsAway)] {
+        return *isCrowded || (asked && asked());
+    };
+    m_events = std::make_shared<const caller_events>(std::move(events));
     m_acceptor.open(address.protocol());
     m_acceptor.set_option(asio::ip::tcp::acceptor::reuse_address(true));
     m_acceptor.bind(address);
@@ -623,6 +626,9 @@
 {
     const auto link = std::make_shared<caller_link>(std::move(socket), m_events);
     m_links.push_back(link);
+    if (m_links.size() > m_most / 2) {
+        sweep();
+    }
     link->start();
     if (m_draining) {
         link->drain(m_idleUntil);
@@ -637,6 +643,7 @@
     });
     static constexpr std::size_t leastSweep = 64;
     m_sweepAt = std::max(leastSweep, 2 * m_links.size());
+    *m_isCrowded = m_links.size() > m_most / 2;
 }
 
 void caller_listener::stopAccepting()
--- a/packages/http/unittests/caller_link_test.cpp
+++ b/packages/http/unittests/caller_link_test.cpp
@@ -517,4 +517,23 @@
     EXPECT_EQ(m_requests.size(), 2U);
 }
 
+TEST_F(caller_link_test, idleConnectionsOfManyCallersDontKeepNewOnesOut)
+{
+    static constexpr std::size_t most = 8;
+    caller_listener small(m_loop, {asio::ip::address_v4::loopback(), 0}, events());
+    small.start(most);
+    std::vector<asio::ip::tcp::socket> callers;
+    for (std::size_t made = 0; made < 3 * most; ++made) {
+        asio::ip::tcp::socket caller(m_loop);
+        caller.connect(small.address());
+        m_caller = std::move(caller);
+        write(plainRequest);
+        EXPECT_NE(read().find("answer"), std::string::npos) << made;
+        if (!m_closed) {
+            callers.push_back(std::move(m_caller));
+        }
+    }
+    EXPECT_GE(callers.size(), most / 2) << "some are kept open";
+}
+
 } // namespace fuchsialoom
