--- a/tests/prompt_part_scene.h
+++ b/tests/prompt_part_scene.h
@@ -107,6 +107,8 @@
     void startTarget();
     void replaceEnded();
     bool isExempt(const std::string &vm, clock::time_point at);
+    /// Sends a request like no other with \p parts in its prompt, before one of its own. \return whether it was served.
+    bool ask(const std::string &vm, char kind, std::vector<std::string> parts);
     void callSoundly(const std::string &vm, std::uint64_t seed, clock::time_point until);
     void callBadly(std::uint64_t seed, clock::time_point until);
     first_tries triesIn(clock::time_point from, clock::time_point until) const;
