An old crash report learned by a VM without room doesn't end its process

The parts of a report may take the room of the report itself where 4,096 newer ones are kept; the look at its acquittal then threw out of learn(). Found on reading the diff; the test threw map::at before.

--- a/packages/gateway/lib/crash_evidence.cpp
+++ b/packages/gateway/lib/crash_evidence.cpp
@@ -253,11 +253,11 @@
 
 bool crash_evidence::acquitRequest(const crash_report &report)
 {
-    report_state &state = m_reports.at({report.fingerprint, report.target});
-    if (!report.isAcquitted || state.isAcquitted) {
+    const auto known = m_reports.find({report.fingerprint, report.target});
+    if (known == m_reports.end() || !report.isAcquitted || known->second.isAcquitted) {
         return false;
     }
-    state.isAcquitted = true;
+    known->second.isAcquitted = true;
     m_quarantine.clear(report.fingerprint);
     updateSuspect(report.fingerprint);
     return true;
--- a/packages/gateway/unittests/crash_parts_test.cpp
+++ b/packages/gateway/unittests/crash_parts_test.cpp
@@ -227,6 +227,20 @@
     EXPECT_FALSE(m_vms[1].heldUntil(requestWith({shared})));
 }
 
+/// The parts of an old report take the room of the report itself.
+TEST_F(crash_parts, anOldReportIsLearnedByAVmThatHasNoRoom)
+{
+    crash_evidence &full = m_vms[0];
+    for (std::uint64_t made = 0; made < 5000; ++made) {
+        full.learn(m_now, {.reports = {{content_hash(100000 + made), nextTarget()}}});
+    }
+    crash_report old{content_hash(99), nextTarget(), false, milliseconds(300000)};
+    old.parts = {shared, middle, bad};
+    full.learn(m_now, {.reports = {old}});
+    EXPECT_LE(full.reportCount(), 4096U);
+    EXPECT_FALSE(full.heldUntil(requestWith({bad})));
+}
+
 TEST(sound_parts, areBoundedAndForgotten)
 {
     sound_parts parts;
