--- a/tests/prompt_part_scene.cpp
+++ b/tests/prompt_part_scene.cpp
@@ -55,6 +55,7 @@
                        .domain = m_targets.size() % 2 == 0 ? "a" : "b",
                        .models = {"m1"},
                        .events = 14,
+                       .isUnframed = m_targets.size() % 2 == 0,
                        .readingTime = readingTime,
                        .crashes = {.part = crashingPart, .place = m_options.place, .delay = readingTime}});
     m_targets.push_back(id);
