--- a/packages/gateway/lib/crash_evidence.cpp
+++ b/packages/gateway/lib/crash_evidence.cpp
@@ -1,9 +1,7 @@
 /// \file
-/// Weighs reports of requests at targets that died.
+/// Keeps the reports of requests, and of parts of their prompts, at targets that died.
 #include "fuchsialoom/gateway/crash_evidence.h"
 
-#include "crash_rules.h"
-
 #include <algorithm>
 #include <utility>
 
--- a/packages/gateway/lib/crash_rules.h
+++ b/packages/gateway/lib/crash_rules.h
@@ -1,5 +1,5 @@
 /// \file
-/// Numbers that the reports of crashes and their weighing share.
+/// Numbers that holding requests back and quarantining them have in common.
 #pragma once
 
 #include <cstddef>
--- a/packages/gateway/lib/crash_suspicion.cpp
+++ b/packages/gateway/lib/crash_suspicion.cpp
@@ -10,7 +10,8 @@
 namespace fuchsialoom
 {
 
-/// The same for a request that was suspected before and has completed since, but seldom: it may crash targets only at times.
+/// In place of deathsToSuspect for a request that was suspected before and has completed since, but seldom: it may crash targets
+/// only at times.
 static constexpr std::size_t deathsToSuspectAgain = 1;
 /// Time after a death for which a suspected request isn't sent. Covers the reports and their settling, so that a trial
 /// never overtakes the verdict, and fits into the time that callers have for another try.
@@ -83,8 +84,8 @@
     if (held.trials == 0 || (held.isPart && !repeatsATrial(subject, subjects))) {
         return held.latestDeathAt + holdTime;
     }
-    const bool isDecided = held.isPart && held.trials >= brokenTrialsToQuarantine;
-    return held.latestDeathAt + (isDecided ? m_quarantineLength : holdTimeAfterTrial);
+    const bool isTriedOut = held.isPart && held.trials >= brokenTrialsToQuarantine;
+    return held.latestDeathAt + (isTriedOut ? m_quarantineLength : holdTimeAfterTrial);
 }
 
 std::optional<instant> crash_evidence::heldUntil(const crash_subjects &subjects) const
