--- a/packages/fleet/unittests/simulated_fleet.cpp
+++ b/packages/fleet/unittests/simulated_fleet.cpp
@@ -94,6 +94,9 @@
     events.onChange = [&state](fleet_change change, const vm_id &) {
         state.suspectedRelays += change == fleet_change::RelaySilent ? 1 : 0;
     };
+    if (m_options.extendEvents) {
+        m_options.extendEvents(vm, events);
+    }
     return events;
 }
 
@@ -266,6 +269,9 @@
             send(vm, state.node->advance(m_now));
         }
     }
+    if (m_options.onStep) {
+        m_options.onStep(m_now);
+    }
 }
 
 void simulated_fleet::run(milliseconds length)
--- a/packages/fleet/unittests/simulated_fleet.h
+++ b/packages/fleet/unittests/simulated_fleet.h
@@ -23,6 +23,10 @@
     double loss = 0; ///< fraction of datagrams lost
     milliseconds longestDelay{3};
     std::map<team_id, quota_limits> quotas{};
+    /// Adds to the callbacks of a VM that starts; optional.
+    std::function<void(std::size_t vm, fleet_events &events)> extendEvents{};
+    /// Called at each step, after its datagrams and timers; optional.
+    std::function<void(instant now)> onStep{};
 };
 
 class simulated_fleet
--- a/tests/topic_listing_test.cpp
+++ b/tests/topic_listing_test.cpp
@@ -37,7 +37,7 @@
         };
         events.onLost = [](store_outcome) {};
         events.onRegained = [] {};
-        m_follower = std::make_unique<topic_follower>(m_loop, m_client, follower_options{topic}, std::move(events));
+        m_follower = std::make_unique<topic_follower>(loop_timer(m_loop), m_client, follower_options{topic}, std::move(events));
     }
 
     void put(int key, const std::string &value)
