--- a/tests/platform_path_test.cpp
+++ b/tests/platform_path_test.cpp
@@ -42,7 +42,8 @@
 class platform_path : public testing::Test
 {
 protected:
-    void start()
+    /// Starts \p nearVms VMs in domain "a" and \p farVms in domain "b".
+    void start(std::size_t nearVms = domainVms, std::size_t farVms = 1)
     {
         m_world.configure(platform_world::configurationOf(1, 2, true));
         for (const char *id : {"e1", "e2"}) {
@@ -51,10 +52,9 @@
         for (const char *id : {"p1", "p2"}) {
             m_world.addTarget({.id = id, .service = "plain", .isEngine = false, .slots = 40});
         }
-        for (std::size_t vm = 0; vm < domainVms; ++vm) {
-            m_vms.push_back(m_world.startVmOnPaths("a"));
+        for (std::size_t vm = 0; vm < nearVms + farVms; ++vm) {
+            m_vms.push_back(m_world.startVmOnPaths(vm < nearVms ? "a" : "b"));
         }
-        m_vms.push_back(m_world.startVmOnPaths("b"));
         for (const std::string &vm : m_vms) {
             ASSERT_TRUE(m_world.waitReady(vm)) << m_world.vm(vm).wholeOutput();
         }
@@ -67,7 +67,11 @@
 
     void cut(cut_share share, path_state state)
     {
-        const std::size_t count = share == cut_share::One ? 1 : share == cut_share::Most ? domainVms - 1 : domainVms;
+        cutFirst(share == cut_share::One ? 1 : share == cut_share::Most ? domainVms - 1 : domainVms, state);
+    }
+
+    void cutFirst(std::size_t count, path_state state)
+    {
         m_cut.assign(m_vms.begin(), m_vms.begin() + static_cast<std::ptrdiff_t>(count));
         for (const std::string &vm : m_cut) {
             m_world.setPaths(vm, state);
@@ -89,7 +93,7 @@
     };
 
     /// Sends requests of all kinds to \p vm, one after the other without waiting for their answers.
-    try_counts tryAt(const std::string &vm, const std::string &prefix, int count)
+    try_counts tryAt(const std::string &vm, const std::string &prefix, int count, std::chrono::milliseconds pause = pauseBetweenTries)
     {
         std::vector<std::future<std::pair<bool, steady_clock::duration>>> answers;
         for (int number = 0; number < count; ++number) {
@@ -105,7 +109,7 @@
                 const platform_answer answer = m_world.ask(vm, request);
                 return std::pair(answer.status == 200 && answer.complete, steady_clock::now() - sentAt);
             }));
-            std::this_thread::sleep_for(pauseBetweenTries);
+            std::this_thread::sleep_for(pause);
         }
         try_counts counts;
         counts.sent = count;
@@ -119,13 +123,14 @@
         return counts;
     }
 
-    std::vector<try_counts> tryAtAll(const std::vector<std::string> &vms, const std::string &prefix, int count)
+    std::vector<try_counts>
+    tryAtAll(const std::vector<std::string> &vms, const std::string &prefix, int count, std::chrono::milliseconds pause = pauseBetweenTries)
     {
         std::vector<std::future<try_counts>> tries;
         tries.reserve(vms.size());
         for (const std::string &vm : vms) {
-            tries.push_back(std::async(std::launch::async, [this, vm, prefix, count] {
-                return tryAt(vm, std::string(prefix).append("-").append(vm), count);
+            tries.push_back(std::async(std::launch::async, [this, vm, prefix, count, pause] {
+                return tryAt(vm, std::string(prefix).append("-").append(vm), count, pause);
             }));
         }
         std::vector<try_counts> counts;
@@ -199,6 +204,30 @@
         return std::string(nameOf(std::get<0>(info.param))) + nameOfShare(std::get<1>(info.param));
     });
 
+/// Guards against requests that are refused after a few peers declined, though others have a path.
+TEST_F(platform_path, firstTriesAreServedThoughMostOfALargeFleetHasNoPath)
+{
+    static constexpr std::size_t cutVms = 20;
+    static constexpr std::size_t wholeVms = 4;
+    static constexpr int triesOfQuietVm = 6;
+    start(cutVms / 2, cutVms / 2 + wholeVms);
+    std::this_thread::sleep_for(std::chrono::seconds(3)); // roles settle
+    cutFirst(cutVms, path_state::Silent);
+    std::this_thread::sleep_for(std::chrono::seconds(2));
+    // What a VM learned by one request isn't known any more at the next.
+    const std::vector<try_counts> counts = tryAtAll(m_vms, "cut", triesOfQuietVm, std::chrono::milliseconds(1200));
+    int served = 0;
+    for (std::size_t vm = 0; vm < cutVms; ++vm) {
+        served += counts[vm].served;
+    }
+    // The platform asks for two thirds of what the other VMs serve; these serve everything.
+    EXPECT_GT(served * 4, static_cast<int>(cutVms) * triesOfQuietVm * 3);
+    for (std::size_t vm = cutVms; vm < m_vms.size(); ++vm) {
+        EXPECT_EQ(counts[vm].served, counts[vm].sent) << m_vms[vm];
+    }
+    EXPECT_EQ(doubleRuns(), 0);
+}
+
 class platform_path_refusals : public platform_path, public testing::WithParamInterface<path_state>
 {
 };
