A VM tells the others that it reaches no target, and isn't asked then

Callers of cut-off VMs in large fleets were refused: a VM knew of nobody else's path, asked peers one after the other, and refused after four that declined.

Digests carry which of the VMs that they cover reach no target (as 32-bit hashes), relays tell their members of the whole fleet, and a change sends a digest early. Such VMs aren't asked. A VM that declines all the same doesn't count as a failed connection, so a request ends when nobody is left to ask, and requests are spread by capacity. passed-on lines say how many VMs declined.

--- a/packages/fleet/include/fuchsialoom/fleet/fleet_node.h
+++ b/packages/fleet/include/fuchsialoom/fleet/fleet_node.h
@@ -11,6 +11,7 @@
 #include "fuchsialoom/fleet/in_flight_tracker.h"
 #include "fuchsialoom/fleet/membership_view.h"
 #include "fuchsialoom/fleet/messages.h"
+#include "fuchsialoom/fleet/path_reports.h"
 #include "fuchsialoom/fleet/quota_exchange.h"
 #include "fuchsialoom/fleet/relay_selection.h"
 
@@ -93,6 +94,13 @@
     std::vector<outgoing_relay_update> relayUpdates;
 };
 
+/// Another VM that may serve requests of this one.
+struct fleet_peer
+{
+    vm_record record;
+    bool hasPath = true; ///< false: it says that it reaches no target
+};
+
 class fleet_node
 {
 public:
@@ -134,9 +142,9 @@
     const vm_record *servingRelay(instant now) const;
     /// Other relays that are within their suspect timeout.
     std::vector<vm_record> liveRelays() const;
-    /// Other VMs that may serve requests of this one: those that are heard or, where this VM hears few of the fleet itself, all that have
-    /// registered, some of which may have ended.
-    std::vector<vm_record> servingPeers() const;
+    /// The other VMs that are heard or, where this VM hears few of the fleet itself, all that have registered, some of which may have
+    /// ended.
+    std::vector<fleet_peer> peers() const;
     std::size_t memberCount() const
     {
         return m_members.size();
@@ -195,6 +203,10 @@
     void applyCrashNews(instant now, const crash_news &news, bool fromMember);
     /// Repeats everything that this VM knows, for a VM that was just heard and may know nothing of it.
     void repeatCrashNews(instant now);
+    void applyPathReport(instant now, const vm_id &source, const std::vector<vm_key> &withoutPath);
+    /// Of this VM and its members, those that reach no target.
+    std::vector<vm_key> groupWithoutPath() const;
+    std::vector<vm_record> heardOrRegistered() const;
     void withdrawOpposite(const residency_change &residencyChange);
     void updateRole(instant now);
     void expire(instant now);
@@ -237,6 +249,7 @@
     std::vector<residency_change> m_unsentChanges; ///< of m_residencyChanges, not yet sent in a delta
     std::vector<residency_change> m_unsentChangesForMembers;
     crash_outbox m_crashNews;
+    path_reports m_pathReports; ///< by this VM, its members and other relays; at a member by its relay, for the whole fleet
     std::optional<known_holder> m_holder; ///< if it is another VM
     bool m_wasRelay = true;
     bool m_holdsDuty = false; ///< as of the latest digest; a holder stays a relay, since it needs the messages of all relays
--- a/packages/fleet/include/fuchsialoom/fleet/messages.h
+++ b/packages/fleet/include/fuchsialoom/fleet/messages.h
@@ -9,6 +9,7 @@
 #include "fuchsialoom/core/targets.h"
 #include "fuchsialoom/fleet/crash_news.h"
 #include "fuchsialoom/fleet/in_flight.h"
+#include "fuchsialoom/fleet/path_reports.h"
 #include "fuchsialoom/fleet/team_quotas.h"
 #include "fuchsialoom/support/time.h"
 
@@ -110,6 +111,7 @@
     std::vector<endpoint> relays; ///< other live relays known to the sender, for discovery
     std::vector<team_spending> spending; ///< by the VMs that this digest covers
     crash_news crashes;
+    std::vector<vm_key> withoutPath; ///< of the VMs that this digest covers, those that reach no target
 
     friend bool operator==(const peer_digest &, const peer_digest &) = default;
 };
@@ -143,6 +145,7 @@
     std::vector<team_balance> balances; ///< of all teams in full updates, else of those with little credit left
     double reach = 1; ///< fraction of the fleet that the relay can reach
     crash_news crashes;
+    std::vector<vm_key> withoutPath; ///< VMs of the whole fleet that reach no target; only in full updates
 
     friend bool operator==(const relay_update &, const relay_update &) = default;
 };
--- a/packages/fleet/lib/fleet_node.cpp
+++ b/packages/fleet/lib/fleet_node.cpp
@@ -129,6 +129,7 @@
     m_groupInFlight.forget(source);
     m_fleetInFlight.forget(source);
     m_quotaExchange.forget(source);
+    m_pathReports.forget(source);
     m_events.onSourceRemoved(source);
 }
 
@@ -160,6 +161,7 @@
     }
     applyResidencyChanges(now, digest.residencyChanges, true);
     applyCrashNews(now, digest.crashes, true);
+    applyPathReport(now, vm, digest.withoutPath);
     if (isNew) {
         m_events.onChange(fleet_change::MemberJoined, vm);
         repeatCrashNews(now);
@@ -201,6 +203,7 @@
     }
     applyResidencyChanges(now, digest.residencyChanges, false);
     applyCrashNews(now, digest.crashes, false);
+    applyPathReport(now, vm, digest.withoutPath);
     for (const endpoint &relay : digest.relays) {
         if (relay != m_self.address && m_seeds.size() < maxKnownSenders) {
             instant &until = m_seeds[relay];
@@ -273,6 +276,7 @@
     }
     if (message.isFull) {
         m_relaySelection.setLiveRelays(message.relays);
+        m_pathReports.put(relay, message.withoutPath);
     }
     m_relayHeardAt = now;
     m_relayNextWithin = message.nextWithin;
@@ -440,39 +444,6 @@
     return m_relaySelection.isServed(now) ? m_membership.find(*m_relaySelection.relay()) : nullptr;
 }
 
-std::vector<vm_record> fleet_node::liveRelays() const
-{
-    std::vector<vm_record> live;
-    for (const auto &[vm, peer] : m_relays) {
-        const vm_record *record = m_membership.find(vm);
-        if (peer.live && record) {
-            live.push_back(*record);
-        }
-    }
-    return live;
-}
-
-std::vector<vm_record> fleet_node::servingPeers() const
-{
-    std::vector<vm_record> heard = liveRelays();
-    for (const auto &[vm, member] : m_members) {
-        if (const vm_record *record = m_membership.find(vm)) {
-            heard.push_back(*record);
-        }
-    }
-    if (m_relaySelection.isRelay() && 2 * (heard.size() + 1) >= m_membership.size()) {
-        return heard;
-    }
-    std::vector<vm_record> registered;
-    for (const auto &[vm, record] : m_membership.records()) {
-        const auto relay = m_relays.find(vm);
-        if (vm != m_self.vm && (relay == m_relays.end() || relay->second.live)) {
-            registered.push_back(record);
-        }
-    }
-    return registered;
-}
-
 std::optional<std::size_t> fleet_node::dutyRank() const
 {
     if (!m_relaySelection.isRelay()) {
--- /dev/null
+++ b/packages/fleet/lib/fleet_peers.cpp
@@ -0,0 +1,69 @@
+/// \file
+/// Which other VMs are heard, and which of them may serve requests of this one.
+#include "fuchsialoom/fleet/fleet_node.h"
+
+#include <algorithm>
+
+namespace fuchsialoom
+{
+
+std::vector<vm_record> fleet_node::liveRelays() const
+{
+    std::vector<vm_record> live;
+    for (const auto &[vm, peer] : m_relays) {
+        const vm_record *record = m_membership.find(vm);
+        if (peer.live && record) {
+            live.push_back(*record);
+        }
+    }
+    return live;
+}
+
+std::vector<vm_record> fleet_node::heardOrRegistered() const
+{
+    std::vector<vm_record> heard = liveRelays();
+    for (const auto &[vm, member] : m_members) {
+        if (const vm_record *record = m_membership.find(vm)) {
+            heard.push_back(*record);
+        }
+    }
+    if (m_relaySelection.isRelay() && 2 * (heard.size() + 1) >= m_membership.size()) {
+        return heard;
+    }
+    std::vector<vm_record> registered;
+    for (const auto &[vm, record] : m_membership.records()) {
+        const auto relay = m_relays.find(vm);
+        if (vm != m_self.vm && (relay == m_relays.end() || relay->second.live)) {
+            registered.push_back(record);
+        }
+    }
+    return registered;
+}
+
+std::vector<fleet_peer> fleet_node::peers() const
+{
+    std::vector<fleet_peer> peers;
+    for (vm_record &record : heardOrRegistered()) {
+        const bool hasPath = !m_pathReports.contains(record.vm);
+        peers.push_back({std::move(record), hasPath});
+    }
+    return peers;
+}
+
+void fleet_node::applyPathReport(instant now, const vm_id &source, const std::vector<vm_key> &withoutPath)
+{
+    if (m_pathReports.put(source, withoutPath)) {
+        scheduleEarlyDigest(now);
+    }
+}
+
+std::vector<vm_key> fleet_node::groupWithoutPath() const
+{
+    std::vector<vm_key> group = m_pathReports.of(m_self.vm);
+    for (const auto &[vm, member] : m_members) {
+        std::ranges::copy(m_pathReports.of(vm), std::back_inserter(group));
+    }
+    return group;
+}
+
+} // namespace fuchsialoom
--- a/packages/fleet/lib/fleet_sending.cpp
+++ b/packages/fleet/lib/fleet_sending.cpp
@@ -218,6 +218,7 @@
     m_events.onDemandReport(m_self.vm, digest.demand);
     m_groupInFlight.set(now, m_self.vm, digest.inFlight);
     m_fleetInFlight.set(now, m_self.vm, digest.inFlight);
+    m_pathReports.put(m_self.vm, digest.withoutPath);
     m_unsentAdapterRequests.clear();
     m_unsentChanges.clear();
     m_unsentChangesForMembers.clear();
@@ -245,6 +246,7 @@
             toMembers.message.residencyChanges.push_back(one);
         }
         toMembers.message.crashes = m_crashNews.take(now, crash_outbox::channel::Members, false);
+        toMembers.message.withoutPath = m_pathReports.all();
         for (const vm_record &one : liveRelays()) {
             if (one.domain == m_self.domain) {
                 toMembers.message.relays.push_back(one.vm);
@@ -263,6 +265,7 @@
     digest.origin = nextOrigin();
     digest.vms = static_cast<std::uint32_t>(1 + m_members.size());
     digest.demand = groupDemand(digest.demand);
+    digest.withoutPath = groupWithoutPath();
     digest.inFlight = m_groupInFlight.totals();
     m_groupInFlight.takeChanged();
     m_fleetInFlight.takeChanged();
--- a/packages/fleet/lib/messages.cpp
+++ b/packages/fleet/lib/messages.cpp
@@ -317,6 +317,16 @@
     return news;
 }
 
+json encodeVmKey(vm_key vm)
+{
+    return vm.value;
+}
+
+vm_key decodeVmKey(const json &one)
+{
+    return vm_key(one.get<std::uint32_t>());
+}
+
 peer_digest decodeDigest(const json &fields)
 {
     field_reader read(fields);
@@ -338,6 +348,7 @@
     });
     digest.spending = decodeList<team_spending>(read.nextOptional(), decodeSpending);
     digest.crashes = decodeCrashNews(read.nextOptional());
+    digest.withoutPath = decodeList<vm_key>(read.nextOptional(), decodeVmKey);
     return digest;
 }
 
@@ -375,6 +386,7 @@
     const json &reach = read.nextOptional();
     message.reach = reach.is_number() ? std::clamp(reach.get<double>(), 0.0, 1.0) : 1.0;
     message.crashes = decodeCrashNews(read.nextOptional());
+    message.withoutPath = decodeList<vm_key>(read.nextOptional(), decodeVmKey);
     return message;
 }
 
@@ -417,7 +429,8 @@
                                               return json(toText(one));
                                           }),
                                encodeList(digest.spending, encodeSpending),
-                               encodeCrashNews(digest.crashes)}));
+                               encodeCrashNews(digest.crashes),
+                               encodeList(digest.withoutPath, encodeVmKey)}));
 }
 
 std::string encodeDelta(const delta_message &delta)
@@ -449,7 +462,8 @@
                                encodeInFlight(message.inFlight),
                                encodeList(message.balances, encodeBalance),
                                message.reach,
-                               encodeCrashNews(message.crashes)}));
+                               encodeCrashNews(message.crashes),
+                               encodeList(message.withoutPath, encodeVmKey)}));
 }
 
 std::string encodeMemberUpdate(const std::string &encodedUpdate, const receiver_part &receiver)
--- a/packages/fleet/unittests/fleet_node_test.cpp
+++ b/packages/fleet/unittests/fleet_node_test.cpp
@@ -67,6 +67,52 @@
     EXPECT_EQ(countVmsWithWrongTotal(fleet, busy), 0U);
 }
 
+namespace
+{
+
+/// \return the pairs of VMs of which one is wrong about the other's path.
+std::size_t countWrongPaths(simulated_fleet &fleet)
+{
+    std::size_t wrong = 0;
+    for (std::size_t vm = 0; vm < fleet.size(); ++vm) {
+        if (!fleet.isUp(vm)) {
+            continue;
+        }
+        for (const fleet_peer &peer : fleet.at(vm).node->peers()) {
+            for (std::size_t other = 0; other < fleet.size(); ++other) {
+                const auto &state = fleet.at(other);
+                wrong += state.record.vm == peer.record.vm && fleet.isUp(other) && state.reachesTargets != peer.hasPath ? 1 : 0;
+            }
+        }
+    }
+    return wrong;
+}
+
+} // namespace
+
+TEST_P(fleet_sizes, allVmsKnowWithinTwoSecondsWhichOthersReachNoTarget)
+{
+    static constexpr std::size_t one = 10;
+    simulated_fleet fleet(options(4, 0.02));
+    fleet.startAll();
+    fleet.run(settlingTime);
+    const auto setAllBut = [&fleet](bool reaches) {
+        for (std::size_t vm = 0; vm < fleet.size(); ++vm) {
+            if (fleet.isUp(vm) && vm % one != 0) {
+                fleet.setReachesTargets(vm, reaches);
+            }
+        }
+        fleet.run(milliseconds(2000));
+    };
+    setAllBut(false);
+    EXPECT_EQ(countWrongPaths(fleet), 0U);
+    fleet.kill(fleet.relays().back());
+    fleet.run(settlingTime);
+    EXPECT_EQ(countWrongPaths(fleet), 0U);
+    setAllBut(true);
+    EXPECT_EQ(countWrongPaths(fleet), 0U);
+}
+
 TEST_P(fleet_sizes, lostAndLateMessagesAreRecoveredWithinASecondAndAHalf)
 {
     simulated_fleet_options lossy = options(2, 0.05);
--- a/packages/fleet/unittests/simulated_fleet.cpp
+++ b/packages/fleet/unittests/simulated_fleet.cpp
@@ -47,6 +47,9 @@
         peer_digest digest;
         digest.inFlight = state.own;
         digest.demand = state.ownDemand;
+        if (!state.reachesTargets) {
+            digest.withoutPath.emplace_back(state.record.vm);
+        }
         if (state.fence) {
             digest.holder = holder_announcement{*state.fence, milliseconds(0)};
         }
@@ -174,6 +177,12 @@
     }
 }
 
+void simulated_fleet::setReachesTargets(std::size_t vm, bool reaches)
+{
+    m_vms[vm].reachesTargets = reaches;
+    m_vms[vm].node->scheduleEarlyDigest(m_now);
+}
+
 void simulated_fleet::kill(std::size_t vm)
 {
     m_vms[vm].crashes = {};
--- a/packages/fleet/unittests/simulated_fleet.h
+++ b/packages/fleet/unittests/simulated_fleet.h
@@ -39,6 +39,7 @@
         std::unique_ptr<fleet_node> node;
         std::uint64_t incarnation = 0;
         bool frozen = false;
+        bool reachesTargets = true;
         in_flight_counts own; ///< actual in-flight counts of this VM
         std::set<target_key> changed;
         in_flight_tracker seen; ///< in-flight counts of other VMs, as reported to this one
@@ -70,6 +71,8 @@
     void quarantineAt(std::size_t vm, content_hash fingerprint);
     /// Every relay of \p domain reads in the store that \p fingerprint is to be refused.
     void readQuarantineInStore(const domain_id &domain, content_hash fingerprint);
+    /// VM \p vm loses its path to the targets, or has it again.
+    void setReachesTargets(std::size_t vm, bool reaches);
     void kill(std::size_t vm);
     void restart(std::size_t vm);
     void freeze(std::size_t vm, bool frozen);
--- a/packages/gateway/include/fuchsialoom/gateway/gateway.h
+++ b/packages/gateway/include/fuchsialoom/gateway/gateway.h
@@ -242,6 +242,11 @@
     {
         return m_paths.isLost();
     }
+    /// Sets the callback for a path that is lost or back.
+    void onPathChange(std::function<void()> callback)
+    {
+        m_onPathChange = std::move(callback);
+    }
     /// Prometheus text of the path and of the requests that were passed on.
     std::string pathMetrics() const;
     /// Whether requests go to other VMs, since this one has no path.
@@ -407,6 +412,7 @@
     std::function<void(const adapter_request &)> m_onAdapterMiss;
     std::function<void()> m_onInFlightChanged;
     std::function<void(const target_id &, bool isAlive)> m_onReachability;
+    std::function<void()> m_onPathChange;
     std::function<void(const crash_news &)> m_onCrashNews;
     std::function<milliseconds()> m_timeUntilOrders;
     asio::steady_timer m_queueTimer;
--- a/packages/gateway/include/fuchsialoom/gateway/peer_choice.h
+++ b/packages/gateway/include/fuchsialoom/gateway/peer_choice.h
@@ -20,6 +20,8 @@
     vm_id vm;
     endpoint address; ///< takes requests that other VMs pass on
     domain_id domain;
+    std::uint32_t capacity = 1000; ///< CPU share in millicores
+    bool hasPath = true; ///< false: it says that it reaches no target itself
 
     friend bool operator==(const serving_peer &, const serving_peer &) = default;
 };
@@ -29,8 +31,8 @@
 public:
     explicit peer_choice(domain_id ownDomain);
 
-    /// The peer of \p peers with the fewest requests of this VM, the own domain first among equals. Nothing if all were found unable
-    /// a moment ago. \p draw is a random number that breaks ties.
+    /// The peer of \p peers with the fewest requests of this VM for its capacity, the own domain first among equals. Nothing if all have no
+    /// path or were found unable a moment ago. \p draw is a random number that breaks ties.
     std::optional<serving_peer> choose(instant now, const std::vector<serving_peer> &peers, std::uint64_t draw) const;
 
     void begin(const vm_id &peer);
--- a/packages/gateway/include/fuchsialoom/gateway/retry_rules.h
+++ b/packages/gateway/include/fuchsialoom/gateway/retry_rules.h
@@ -13,6 +13,7 @@
 
 enum class attempt_outcome {
     NotSent, ///< no byte can have reached the target
+    Declined, ///< passed on to another VM, which doesn't take it
     NotRun, ///< the target states that it didn't run the request and won't
     Failed, ///< the target ran it and answered with a server error
     Broken, ///< sent, but no complete answer arrived; the request may have run
@@ -24,6 +25,7 @@
 {
     static constexpr auto entries = std::to_array<enum_name<attempt_outcome>>({
         {attempt_outcome::NotSent, "not-sent"},
+        {attempt_outcome::Declined, "declined"},
         {attempt_outcome::NotRun, "not-run"},
         {attempt_outcome::Failed, "failed"},
         {attempt_outcome::Broken, "broken"},
--- a/packages/gateway/lib/exchange.h
+++ b/packages/gateway/lib/exchange.h
@@ -238,6 +238,7 @@
     request_deadlines m_deadlines{};
     bool m_late = false; ///< queued behind the requests that can still meet their objective
     attempt_history m_history;
+    std::uint32_t m_declines = 0; ///< other VMs that didn't take it
     std::optional<passed_on_mark> m_passedOn; ///< set if another VM passed the request on; then it is passed on no further
     bool m_needsPeer = false; ///< this VM reaches none of the targets that could serve the request
     std::set<target_id> m_triedTargets;
--- a/packages/gateway/lib/exchange_attempts.cpp
+++ b/packages/gateway/lib/exchange_attempts.cpp
@@ -420,6 +420,10 @@
 void exchange::countAttemptEnd(const attempt &one, attempt_outcome outcome)
 {
     const instant now = loopNow();
+    if (outcome == attempt_outcome::Declined) {
+        m_declines += 1;
+        return;
+    }
     if (outcome == attempt_outcome::NotSent) {
         m_history.connectFailures += 1;
         return;
@@ -456,7 +460,7 @@
         endBesideOther(one);
         return;
     case retry_step::TryElsewhere:
-        if (outcome != attempt_outcome::NotSent) {
+        if (outcome != attempt_outcome::NotSent && outcome != attempt_outcome::Declined) {
             budget.countRetry(now);
             m_gateway.m_counters.retries += 1;
         }
--- a/packages/gateway/lib/exchange_peers.cpp
+++ b/packages/gateway/lib/exchange_peers.cpp
@@ -91,6 +91,7 @@
                                      .with("peer", peer.vm)
                                      .with("path", m_gateway.m_paths.isLost() ? "lost" : "whole")
                                      .with("waited-ms", std::chrono::duration_cast<milliseconds>(now - m_arrivedAt))
+                                     .with("declined", m_declines)
                                      .with("attempt", m_history.targetsTried + (m_successor ? 2 : 1))
                                      .with("beside", m_successor ? m_attempt->target.text() : "none"));
     m_gateway.m_counters.passedOn += 1;
@@ -114,7 +115,7 @@
     const int status = one.head.status;
     if (status == statusDeclined) {
         m_gateway.m_peerChoice.avoid(loopNow(), *one.peer);
-        handleAttemptEnd(one, attempt_outcome::NotSent);
+        handleAttemptEnd(one, attempt_outcome::Declined);
         return;
     }
     if (one.relaysEvents) {
--- a/packages/gateway/lib/gateway_path.cpp
+++ b/packages/gateway/lib/gateway_path.cpp
@@ -38,6 +38,9 @@
 
 void gateway::applyPathChange(path_change change)
 {
+    if (m_onPathChange && (change == path_change::Lost || change == path_change::Regained)) {
+        m_onPathChange();
+    }
     switch (change) {
     case path_change::None:
         return;
--- a/packages/gateway/lib/peer_choice.cpp
+++ b/packages/gateway/lib/peer_choice.cpp
@@ -2,6 +2,7 @@
 /// Implements the choice of a peer.
 #include "fuchsialoom/gateway/peer_choice.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace fuchsialoom
@@ -24,13 +25,14 @@
     std::uint64_t state = draw;
     for (const serving_peer &one : peers) {
         const auto known = m_peers.find(one.vm);
-        if (known != m_peers.end() && now < known->second.avoidUntil) {
+        if (!one.hasPath || (known != m_peers.end() && now < known->second.avoidUntil)) {
             continue;
         }
         state = state * 6364136223846793005ULL + 1442695040888963407ULL;
         const double open = known == m_peers.end() ? 0 : known->second.open;
         const double spread = static_cast<double>(state >> 33 & 1023) / 1024;
-        const double score = open + (one.domain == m_ownDomain ? 0 : foreignDomainCost) + spread;
+        const double load = open + (one.domain == m_ownDomain ? 0 : foreignDomainCost) + spread;
+        const double score = load / std::max<std::uint32_t>(1, one.capacity);
         if (!best || score < bestScore) {
             best = one;
             bestScore = score;
--- a/packages/gateway/lib/retry_rules.cpp
+++ b/packages/gateway/lib/retry_rules.cpp
@@ -24,6 +24,8 @@
             return retry_step::TryElsewhere;
         }
         break;
+    case attempt_outcome::Declined:
+        return retry_step::TryElsewhere; // nobody is asked twice within a while, so this ends when all have declined
     case attempt_outcome::NotRun:
         if (attemptsLeft && budgetAllows) {
             return retry_step::TryElsewhere;
--- a/packages/gateway/unittests/passing_on_test.cpp
+++ b/packages/gateway/unittests/passing_on_test.cpp
@@ -37,9 +37,15 @@
     }
 }
 
-static const std::vector<serving_peer> peers{{vm_id("near"), {"127.0.0.1", 1}, domain_id("a")},
-                                             {vm_id("far"), {"127.0.0.1", 2}, domain_id("b")},
-                                             {vm_id("farther"), {"127.0.0.1", 3}, domain_id("c")}};
+static serving_peer peerOf(const char *vm, const char *domain)
+{
+    serving_peer peer;
+    peer.vm = vm_id(vm);
+    peer.domain = domain_id(domain);
+    return peer;
+}
+
+static const std::vector<serving_peer> peers{peerOf("near", "a"), peerOf("far", "b"), peerOf("farther", "c")};
 
 TEST(peer_choice_test, requestsAreSpreadOverThePeersOfAllDomains)
 {
@@ -56,6 +62,34 @@
     }
 }
 
+TEST(peer_choice_test, requestsAreSpreadByCapacity)
+{
+    std::vector<serving_peer> unequal = peers;
+    unequal.back().capacity = 4000;
+    peer_choice choice(domain_id("other"));
+    std::map<vm_id, int> chosen;
+    for (std::uint64_t draw = 1; draw <= 60; ++draw) {
+        const std::optional<serving_peer> peer = choice.choose(start, unequal, draw * 7919);
+        ASSERT_TRUE(peer);
+        chosen[peer->vm] += 1;
+        choice.begin(peer->vm);
+    }
+    EXPECT_NEAR(chosen[unequal.back().vm], 40, 4);
+}
+
+TEST(peer_choice_test, aPeerWithoutPathIsNotAsked)
+{
+    std::vector<serving_peer> cut = peers;
+    cut[0].hasPath = false;
+    cut[2].hasPath = false;
+    const peer_choice choice(domain_id("a"));
+    for (std::uint64_t draw = 1; draw <= 30; ++draw) {
+        EXPECT_EQ(choice.choose(start, cut, draw * 7919), cut[1]);
+    }
+    cut[1].hasPath = false;
+    EXPECT_FALSE(choice.choose(start, cut, 1));
+}
+
 TEST(peer_choice_test, aPeerThatDeclinedIsAskedAgainAfterAWhile)
 {
     peer_choice choice(domain_id("a"));
--- a/packages/gateway/unittests/retry_rules_test.cpp
+++ b/packages/gateway/unittests/retry_rules_test.cpp
@@ -51,9 +51,14 @@
     made.targetsTried = *rc::gen::inRange<std::uint32_t>(0, 4);
     made.attempts = *rc::gen::inRange<std::uint32_t>(1, 4);
     made.connectFailures = *rc::gen::inRange<std::uint32_t>(0, 6);
-    const auto outcome = *rc::gen::element(
-        attempt_outcome::NotSent, attempt_outcome::NotRun, attempt_outcome::Failed, attempt_outcome::Broken, attempt_outcome::Silent);
-    const bool ran = outcome != attempt_outcome::NotSent && outcome != attempt_outcome::NotRun;
+    const auto outcome = *rc::gen::element(attempt_outcome::NotSent,
+                                           attempt_outcome::Declined,
+                                           attempt_outcome::NotRun,
+                                           attempt_outcome::Failed,
+                                           attempt_outcome::Broken,
+                                           attempt_outcome::Silent);
+    const bool neverSent = outcome == attempt_outcome::NotSent || outcome == attempt_outcome::Declined;
+    const bool ran = !neverSent && outcome != attempt_outcome::NotRun;
     const bool earlier = made.repeatable && *rc::gen::arbitrary<bool>();
     made.mayHaveRun = ran || earlier;
     const retry_step step = nextStep(outcome, made, *rc::gen::arbitrary<bool>());
@@ -63,7 +68,7 @@
     if (ran && !made.repeatable) {
         RC_ASSERT(step != retry_step::TryElsewhere);
     }
-    if (step == retry_step::TryElsewhere && outcome != attempt_outcome::NotSent) {
+    if (step == retry_step::TryElsewhere && !neverSent) {
         RC_ASSERT(made.targetsTried < made.attempts);
     }
 }
