A quiet VM finds out that its path is lost by a single request

600 ms without a byte of any target have the path checked where a single target is in use, too; probes of other targets decide, so a single silent target decides nothing. While the path is lost, an attempt counts as silent after the 300 ms that onPathLost() asked for, not only at that instant.

--- a/packages/gateway/include/fuchsialoom/gateway/path_watch.h
+++ b/packages/gateway/include/fuchsialoom/gateway/path_watch.h
@@ -15,6 +15,9 @@
 namespace fuchsialoom
 {
 
+/// Targets at work send something within this time, unless all of them that a VM uses are silent at once.
+inline constexpr milliseconds quietTime{300};
+
 enum class connect_result {
     Connected,
     Refused, ///< the host answered that nobody listens, or something on the way did
--- a/packages/gateway/lib/exchange.cpp
+++ b/packages/gateway/lib/exchange.cpp
@@ -399,8 +399,11 @@
 
 instant exchange::stallDeadline() const
 {
-    // A peer sees itself to targets that are silent.
-    return m_attempt && !m_attempt->peer ? stalledFrom(m_route, m_streamStarted, m_attempt->lastByteAt) : farFuture;
+    if (!m_attempt || m_attempt->peer) {
+        return farFuture; // a peer sees itself to targets that are silent
+    }
+    const instant stalled = stalledFrom(m_route, m_streamStarted, m_attempt->lastByteAt);
+    return m_gateway.m_paths.isLost() ? std::min(stalled, m_attempt->lastByteAt + quietTime) : stalled;
 }
 
 void exchange::armTimer()
--- a/packages/gateway/lib/exchange.h
+++ b/packages/gateway/lib/exchange.h
@@ -49,9 +49,8 @@
     void decline();
     /// Ends the request, since neither a target nor another VM can be reached.
     void endWithoutPath(refusal why, milliseconds retryAfter);
-    /// This VM's path to the targets is lost: attempts without a connection end, and one that wasn't heard since \p heardSince looks
-    /// for a successor.
-    void onPathLost(instant heardSince);
+    /// This VM's path to the targets is lost: attempts without a connection end, and one that isn't heard looks for a successor.
+    void onPathLost();
     /// @}
 
     /// Ends the request if it is one that crashes targets. \return whether it did.
--- a/packages/gateway/lib/exchange_peers.cpp
+++ b/packages/gateway/lib/exchange_peers.cpp
@@ -142,7 +142,7 @@
     }
 }
 
-void exchange::onPathLost(instant heardSince)
+void exchange::onPathLost()
 {
     const auto self = shared_from_this();
     for (const std::optional<attempt> *one : {&m_successor, &m_attempt}) {
@@ -151,10 +151,10 @@
             link->withdraw();
         }
     }
-    if (!m_done && m_attempt && !m_attempt->peer && m_attempt->lastByteAt < heardSince) {
+    if (!m_done && loopNow() >= stallDeadline()) {
         onSilence(loopNow());
-        armTimer();
     }
+    armTimer();
 }
 
 } // namespace fuchsialoom
--- a/packages/gateway/lib/gateway_path.cpp
+++ b/packages/gateway/lib/gateway_path.cpp
@@ -13,8 +13,8 @@
 
 /// A round trip between failure domains takes 1 ms.
 static constexpr milliseconds pathProbeTimeout{150};
-/// Targets at work send something within this time, unless all of them that this VM uses are silent at once.
-static constexpr milliseconds quietTime{300};
+/// A single target may be silent for so long for reasons of its own. Probes of others tell, which cost them connections.
+static constexpr milliseconds loneQuietTime{2 * quietTime};
 static constexpr int minQuietTargets = 2;
 /// Each holds a connection, and as much again to a target.
 static constexpr std::size_t maxPassedOn = 400;
@@ -89,7 +89,7 @@
     for (const auto &[serial, weak] : open) {
         const std::shared_ptr<exchange> ex = weak.lock();
         if (ex && !ex->isDone()) {
-            ex->onPathLost(now - quietTime);
+            ex->onPathLost();
         }
     }
     dispatchQueued();
@@ -102,7 +102,7 @@
         const auto used = std::ranges::count_if(m_pool.targets(), [](const auto &entry) {
             return entry.second.own.requests > 0;
         });
-        if (used >= minQuietTargets) {
+        if (used >= minQuietTargets || (used > 0 && now - m_paths.reachedAt() >= loneQuietTime)) {
             m_paths.onQuiet();
         }
     }
--- a/packages/gateway/unittests/exchange_silence_test.cpp
+++ b/packages/gateway/unittests/exchange_silence_test.cpp
@@ -20,6 +20,39 @@
     EXPECT_EQ(target(0).links.size(), 1U);
 }
 
+/// Guards against a VM that spends its attempts on connections that are dead, since it has one request at a time.
+TEST_F(exchange_silence_test, theSilenceOfASingleRequestShowsThatThePathIsLost)
+{
+    configure(true);
+    list(0);
+    send();
+    list(1);
+    list(2);
+    stopListening();
+    const instant sentAt = loopNow();
+    watchPathUntil(sentAt + milliseconds(900), [this] {
+        return m_gateway.isPathLost();
+    });
+    EXPECT_TRUE(m_gateway.isPathLost());
+    EXPECT_LT(loopNow() - sentAt, milliseconds(900)) << "then the attempt counts as silent in any case";
+}
+
+TEST_F(exchange_silence_test, aSingleSilentTargetBesideOthersThatListenCostsNoAttempt)
+{
+    configure(false);
+    list(0);
+    send();
+    list(1);
+    list(2);
+    watchPathUntil(loopNow() + milliseconds(900), [this] {
+        return m_gateway.isPathLost();
+    });
+    EXPECT_FALSE(m_gateway.isPathLost());
+    EXPECT_EQ(target(0).abandoned, 0U);
+    EXPECT_TRUE(target(1).links.empty());
+    EXPECT_TRUE(target(2).links.empty());
+}
+
 TEST_F(exchange_silence_test, aSuccessorThatRefusesDoesNotCostTheSilentAttempt)
 {
     configure(true);
--- a/packages/gateway/unittests/silence_world.h
+++ b/packages/gateway/unittests/silence_world.h
@@ -52,6 +52,12 @@
         return {m_listener.address().address().to_string(), m_listener.address().port()};
     }
 
+    /// Open connections stay.
+    void stopListening()
+    {
+        m_listener.stopAccepting();
+    }
+
     void beginStream(std::size_t request, std::string_view events)
     {
         links.at(request)->startStream(200, ownHeaders());
@@ -213,6 +219,23 @@
         ASSERT_EQ(target(number).links.size(), count);
     }
 
+    void stopListening()
+    {
+        for (const std::unique_ptr<held_target> &one : m_targets) {
+            one->stopListening();
+        }
+    }
+
+    /// Has the path watched as a node does.
+    template<typename Condition>
+    void watchPathUntil(instant end, Condition holds)
+    {
+        while (!holds() && loopNow() < end) {
+            m_gateway.watchPath();
+            runFor(milliseconds(20));
+        }
+    }
+
     void runFor(milliseconds length)
     {
         m_loop.restart();
