--- a/scripts/steps.sh
+++ b/scripts/steps.sh
@@ -23,6 +23,16 @@
     return "$status"
 }
 
+# step_failures: the verdicts, and of each failed step the lines that tell what failed.
+step_failures() {
+    local name
+    cat "$step_logs/verdicts"
+    for name in $(sed -n 's/^step \([^:]*\): FAILED.*/\1/p' "$step_logs/verdicts"); do
+        echo "step $name:"
+        step_lines "$name" '(warning|error): |Failure$|\*\*\*|FAILED|tests failed|^format' | tail -n 40
+    done
+}
+
 # step_lines NAME PATTERN: what a passed step says in lines that match.
 step_lines() {
     grep -E "$2" "$step_logs/$1.log" || true
