Brittle targets: all VMs together fill the room once a turn

An engine may say that it falls over when it turns away more than N requests in a second. VMs never send beyond its slots, but hear of each other's sends late: each slot that got free got a request of every VM that had one waiting. Nothing read the header.

--- a/packages/gateway/include/fuchsialoom/gateway/gateway.h
+++ b/packages/gateway/include/fuchsialoom/gateway/gateway.h
@@ -254,11 +254,8 @@
     {
         return m_paths.isLost() && !m_servingPeers.empty();
     }
-    /// Sets the VMs that may serve requests of this one.
-    void setServingPeers(std::vector<serving_peer> peers)
-    {
-        m_servingPeers = std::move(peers);
-    }
+    /// Sets the VMs that may serve requests of this one, and that share the room at targets with it.
+    void setServingPeers(std::vector<serving_peer> peers);
     /// @}
 
     /// \name Requests that crash targets.
--- a/packages/gateway/include/fuchsialoom/gateway/request_facts.h
+++ b/packages/gateway/include/fuchsialoom/gateway/request_facts.h
@@ -66,6 +66,8 @@
     bool signedByTarget = false;
     bool wrongTarget = false; ///< another process uses the address, or the requested model isn't resident
     bool displaced = false; ///< the answer names another process at the address
+    /// The targets of its service end if they turn away more requests than this in a second; nothing if they don't.
+    std::optional<std::uint32_t> maxTurnedAway;
 };
 
 /// The functions of a `request_dialect`; none has side effects beyond its arguments.
--- a/packages/gateway/include/fuchsialoom/gateway/target_pool.h
+++ b/packages/gateway/include/fuchsialoom/gateway/target_pool.h
@@ -6,6 +6,7 @@
 #include "fuchsialoom/core/targets.h"
 #include "fuchsialoom/fleet/in_flight_tracker.h"
 #include "fuchsialoom/fleet/messages.h"
+#include "fuchsialoom/gateway/room_turns.h"
 #include "fuchsialoom/gateway/routes.h"
 
 #include <cstdint>
@@ -63,6 +64,12 @@
     instant saidAliveUntil{}; ///< a peer reached it after it had refused a VM, so a refusal is no sign of its death for a while
     instant outOfReachUntil{}; ///< a connection attempt of this VM got no answer
     std::uint32_t consecutiveRefusals = 0; ///< times it became unreachable since its last successful attempt
+    std::uint32_t withheld = 0; ///< slots that aren't free though the counts say so, since it turned a request away
+    instant withheldUntil{}; ///< when one of them is tried again
+    std::uint64_t turn = 0; ///< latest turn in which a waiting request looked for room here; see room_turns
+    std::uint32_t sentInTurn = 0; ///< attempts that this VM began since, in slots that weren't its own before
+    std::uint32_t freed = 0; ///< slots that attempts of this VM have left and the others haven't heard of
+    std::uint64_t crowdedIn = 0; ///< latest turn in which it had little room, or it wasn't known how much
 
     /// Whether it may get new requests and orders.
     bool takesNew() const
@@ -82,8 +89,10 @@
     }
     std::uint32_t inFlight() const
     {
-        return own.requests + peers.requests;
+        return own.requests + peers.requests + withheld;
     }
+    /// `failureShare` decayed up to \p now.
+    double failureShareNow(instant now) const;
     std::uint32_t unreadTokens() const
     {
         return own.unreadTokens + peers.unreadTokens;
@@ -98,6 +107,7 @@
     adapter_id adapter; ///< empty if none is used
     std::uint32_t promptTokens = 0;
     const std::set<target_id> *tried = nullptr; ///< targets to exclude, tried before; may be null
+    bool isFresh = false; ///< it has just arrived, at another time than the requests of other VMs
 };
 
 /// Why no target was chosen.
@@ -152,7 +162,7 @@
     /// Updates the counts of \p vm that changed; a count may be zero.
     void updatePeerInFlight(instant now, const vm_id &vm, const in_flight_counts &changed);
     void removePeerInFlight(const vm_id &vm);
-    /// Drops the counts of silent peers and ends the time for which targets are displaced or unreachable.
+    /// Drops the counts of silent peers and ends the time for which targets are displaced, unreachable or count as full.
     void expirePeers(instant now);
     /// Drops expired residency changes and restores the listed models. \return whether any expired.
     bool expireResidencyChanges(instant now);
@@ -188,11 +198,22 @@
     void noteConnected(const target_id &id);
     /// Some VM reached the target after its host had refused another one. \return whether it was unreachable.
     bool noteAlive(instant now, const target_id &id);
+    /// The target said whether it and the others of its service are brittle: they end when they turn many requests away. \return whether
+    /// that is news.
+    bool setBrittle(instant now, const target_id &id, bool isBrittle);
+    /// The target didn't run a request. If it is brittle, it counts as full at all VMs for a while.
+    void noteTurnedAway(instant now, const target_id &id);
     /// Whether the target is unreachable by the word of a peer alone, although this VM hears it.
     bool isHeardDespiteWord(instant now, const target_id &id) const;
     /// @}
 
-    /// All requests that this VM has in flight, for a full digest.
+    /// Sets this VM's place among those that send to targets; see room_turns.
+    void setMembers(instant now, milliseconds wallTime, std::size_t position, std::size_t count)
+    {
+        m_turns.setMembers(now, wallTime, position, count);
+    }
+
+    /// All requests that this VM has in flight, for a full digest, and the slots that it withholds.
     in_flight_counts ownInFlight() const;
     /// Counts that changed since the last call, including those now zero.
     in_flight_counts takeChangedFlights();
@@ -223,6 +244,9 @@
     static std::uint32_t slotsOf(const pool_target &target);
     /// Requests in flight at \p target. For plain targets, excludes counts of peers too old to be still valid.
     std::uint32_t inFlightAt(instant now, const pool_target &target) const;
+    bool isBrittle(instant now, const service_id &service) const;
+    /// Whether a request may use \p room at a brittle \p target, so that no VM's request is turned away.
+    bool mayFill(instant now, pool_target &target, std::uint32_t room, bool isFresh);
 
     const domain_id m_ownDomain;
     std::map<target_id, pool_target> m_targets;
@@ -231,6 +255,8 @@
     std::map<target_key, target_id> m_keys; ///< ids of the listed targets
     in_flight_tracker m_peers;
     std::map<service_id, microseconds> m_runs; ///< moving average of run times by service; used for plain targets
+    std::map<service_id, instant> m_brittleUntil; ///< services whose targets are brittle
+    room_turns m_turns;
     std::set<target_id> m_changedFlights; ///< targets whose own counts changed and weren't taken yet
     std::map<target_id, std::vector<unexpired_change>> m_residencyChanges; ///< not yet in all listings; bounded by their expiry
 };
--- a/packages/gateway/lib/exchange.cpp
+++ b/packages/gateway/lib/exchange.cpp
@@ -17,6 +17,8 @@
 /// Subtracted from the caller's timeout, which started when the caller sent the request.
 static constexpr milliseconds callerNetworkDelay{3};
 
+/// A request that has waited for longer may wait for the same room as others.
+static constexpr milliseconds freshTime{10};
 static constexpr int statusNoRoute = 404;
 static constexpr int statusFailed = 502;
 static constexpr int statusRefused = 503;
@@ -201,6 +203,7 @@
     query.promptTokens = m_isEngine ? m_facts.promptTokens : 0;
     // A broken stream may resume at the same engine, which is avoided for a short time instead of excluded.
     query.tried = m_streamStarted ? nullptr : &m_triedTargets;
+    query.isFresh = m_attemptNumber == 0 && loopNow() - m_arrivedAt < freshTime;
     return query;
 }
 
--- a/packages/gateway/lib/exchange_attempts.cpp
+++ b/packages/gateway/lib/exchange_attempts.cpp
@@ -20,6 +20,7 @@
 static constexpr std::size_t maxEventBytes = 1048576;
 /// For all answers that are relayed as a whole: a third of the smallest memory that VMs have. Beyond it the larger ones are given up.
 static constexpr std::size_t maxAllAnswerBytes = 83886080;
+static constexpr int statusNoRoom = 503;
 
 std::string exchange::serializeRequest(const attempt &one) const
 {
@@ -173,6 +174,15 @@
     one.head = head;
     const answer_facts facts = m_gateway.m_dialect.readAnswer(head, one.target);
     one.isSigned = facts.signedByTarget;
+    const bool isBrittle = facts.maxTurnedAway.has_value();
+    if ((isBrittle || facts.signedByTarget) && m_gateway.m_pool.setBrittle(loopNow(), one.target, isBrittle)) {
+        m_gateway.m_log.write(loopNow(),
+                              log_line("brittle")
+                                  .with("service", m_service)
+                                  .with("state", isBrittle ? "begun" : "over")
+                                  .with("target", one.target)
+                                  .with("turns-away", facts.maxTurnedAway.value_or(0)));
+    }
     one.relaysEvents = isStream() && head.status == 200 && facts.signedByTarget && !facts.notRun;
 }
 
@@ -289,6 +299,9 @@
     const int status = one.head.status;
     const bool promises = status == 408 || status == 421 || status == 429 || status == 503;
     const bool good = status >= 200 && status < 300;
+    if (facts.notRun && status == statusNoRoom) {
+        m_gateway.m_pool.noteTurnedAway(loopNow(), one.target);
+    }
     if (facts.wrongTarget) {
         m_gateway.m_pool.noteAbsent(loopNow(), one.target, m_facts.model, m_facts.adapter);
     }
--- a/packages/gateway/lib/gateway_path.cpp
+++ b/packages/gateway/lib/gateway_path.cpp
@@ -148,6 +148,19 @@
     }
 }
 
+void gateway::setServingPeers(std::vector<serving_peer> peers)
+{
+    m_servingPeers = std::move(peers);
+    const auto before = std::ranges::count_if(m_servingPeers, [this](const serving_peer &one) {
+        return one.hasPath && one.vm < m_options.vm;
+    });
+    const auto others = std::ranges::count_if(m_servingPeers, [](const serving_peer &one) {
+        return one.hasPath;
+    });
+    const auto wallTime = std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch());
+    m_pool.setMembers(loopNow(), wallTime, static_cast<std::size_t>(before), static_cast<std::size_t>(others) + 1);
+}
+
 std::optional<serving_peer> gateway::choosePeer()
 {
     return m_peerChoice.choose(loopNow(), m_servingPeers, m_random());
--- a/packages/gateway/lib/target_pool.cpp
+++ b/packages/gateway/lib/target_pool.cpp
@@ -26,11 +26,6 @@
 static constexpr milliseconds bytesInFlightTime{50};
 /// A target that some VM reached isn't reported as dead by VMs that it refuses for this long. Its death is found by the others.
 static constexpr milliseconds aliveWordTime{10000};
-/// A peer's count for a plain target is valid for this many mean runs plus peerCountSlack, the time that its next message
-/// may take. Peers report each send at once, but an end only with their next send: with 60 VMs, a call of 15 ms stayed in
-/// the counts for 0.15 s, and two calls in ten waited 87 ms or more for idle targets.
-static constexpr int peerCountMeanRuns = 2;
-static constexpr milliseconds peerCountSlack{20};
 /// The newest run has the weight 1 / newestRunDivisor in a service's moving average.
 static constexpr int newestRunDivisor = 8;
 /// Half-life of a target's share of failures. The shortest grey failure that users name lasts 4 s, and a target that has
@@ -38,25 +33,22 @@
 static constexpr milliseconds failureHalfLife{1500};
 /// Weight of the newest attempt in a target's share of failures.
 static constexpr double newestAttemptWeight = 0.25;
-/// Score penalty of a target in another failure domain, as a share of its slots: traffic between domains is charged for
-/// and takes half a millisecond each way.
-static constexpr double foreignDomainCost = 0.04;
-/// Score penalty of a target that fails every attempt: as if it were filled twice.
-static constexpr double failureCost = 2.0;
 /// Targets that start together are listed one by one, as their heartbeats arrive (1.2 s apart) and the list is read
 /// (every 0.9 s). A plan made in between considers most models lost and drops replicas of busy models to load the others
 /// again: of ten replicas of the busiest model, five were gone before the first request.
 static constexpr milliseconds listingSettleTime{2200};
-/// Prompt tokens that an engine can read, while it generates, in the longest pause that users allow in a stream, 300 ms:
-/// the users' engines read 38 tokens per ms. An engine reads prompts one after another between the generated tokens of
-/// all other requests, so any more prompt tokens delay an event of every stream there.
-static constexpr std::uint32_t maxUnreadTokens = 9000;
-/// Weight in the score of an engine's unread prompt tokens, as a share of `maxUnreadTokens`, relative to its used slots.
-static constexpr double unreadCost = 1.0;
+/// Targets say in each answer whether they are brittle. A VM that gets none for so long hardly sends anything.
+static constexpr milliseconds brittleWordTime{10000};
+/// A brittle target that turned a request away counts as full for this long. Then its slots are tried one by one.
+static constexpr milliseconds withheldTime{1000};
+static constexpr milliseconds withheldStep{500};
 /// For this long after it was seen silent, a target that isn't heard gets only requests that no other target can take.
 static constexpr milliseconds silenceAvoidance{1000};
-/// Random spread of scores, so that VMs with the same view don't all choose the same target.
-static constexpr double jitter = 0.08;
+double pool_target::failureShareNow(instant now) const
+{
+    const double halvings = std::chrono::duration<double>(now - failureShareAt) / std::chrono::duration<double>(failureHalfLife);
+    return failureShare * std::exp2(-std::max(0.0, halvings));
+}
 
 bool pool_target::holds(const model_id &model, const adapter_id &adapter) const
 {
@@ -268,6 +260,35 @@
     return target && target->unreachable && !target->refusedHere && now - target->unreachableSince >= bytesInFlightTime;
 }
 
+bool target_pool::setBrittle(instant now, const target_id &id, bool isBrittle)
+{
+    const pool_target *target = find(id);
+    if (!target) {
+        return false;
+    }
+    const bool wasBrittle = this->isBrittle(now, target->listed.service);
+    if (isBrittle) {
+        m_brittleUntil[target->listed.service] = now + brittleWordTime;
+    } else if (wasBrittle) {
+        m_brittleUntil.erase(target->listed.service);
+    }
+    return isBrittle != wasBrittle;
+}
+
+void target_pool::noteTurnedAway(instant now, const target_id &id)
+{
+    const auto found = m_targets.find(id);
+    if (found == m_targets.end() || !isBrittle(now, found->second.listed.service)) {
+        return;
+    }
+    pool_target &target = found->second;
+    // The request that was turned away still counts, and has no slot.
+    const std::uint32_t used = std::max(target.inFlight(), 1U) - 1;
+    target.withheld += slotsOf(target) - std::min(slotsOf(target), used);
+    target.withheldUntil = now + withheldTime;
+    m_changedFlights.insert(id);
+}
+
 bool target_pool::markUnreachable(instant now, const target_id &id, bool isRefusedHere)
 {
     const auto found = m_targets.find(id);
@@ -291,27 +312,15 @@
     for (auto &[id, target] : m_targets) {
         target.displaced = target.displaced && now < target.displacedUntil;
         target.unreachable = target.unreachable && now < target.unreachableUntil;
+        if (target.withheld > 0 && now >= target.withheldUntil) {
+            target.withheld -= 1;
+            target.withheldUntil = now + withheldStep;
+            m_changedFlights.insert(id);
+        }
     }
     m_peers.removeStale(now - peerSilence);
 }
 
-/// Concurrent requests that a target is sent. An engine would queue more, but in order of arrival; the queue here serves
-/// the most urgent request first.
-std::uint32_t target_pool::slotsOf(const pool_target &target)
-{
-    return target.listed.slots;
-}
-
-std::uint32_t target_pool::inFlightAt(instant now, const pool_target &target) const
-{
-    const auto run = m_runs.find(target.listed.service);
-    if (target.listed.isEngine || run == m_runs.end()) {
-        return target.inFlight();
-    }
-    const instant oldest = now - peerCountMeanRuns * run->second - peerCountSlack;
-    return target.own.requests + m_peers.requestsReportedSince(target.key, oldest);
-}
-
 void target_pool::noteRun(const service_id &service, milliseconds length)
 {
     const auto [found, isNew] = m_runs.try_emplace(service, length);
@@ -320,82 +329,17 @@
     }
 }
 
-/// Whether \p target can read a prompt of \p tokens soon enough and without delaying its streams.
-static bool canRead(const pool_target &target, std::uint32_t tokens)
-{
-    const std::uint32_t unread = target.unreadTokens();
-    return unread == 0 || unread + tokens <= maxUnreadTokens;
-}
-
-double target_pool::scoreOf(instant now, const pool_target &target, std::uint64_t draw) const
-{
-    const double load = static_cast<double>(inFlightAt(now, target)) / std::max(1U, target.listed.slots);
-    const double halvings = std::chrono::duration<double>(now - target.failureShareAt) / std::chrono::duration<double>(failureHalfLife);
-    const double failureShare = target.failureShare * std::exp2(-std::max(0.0, halvings));
-    const double unread = static_cast<double>(target.unreadTokens()) / maxUnreadTokens;
-    const double foreign = target.listed.domain == m_ownDomain ? 0 : foreignDomainCost;
-    const double spread = jitter * static_cast<double>(draw % 1024) / 1024;
-    return load + unreadCost * unread + foreign + failureCost * failureShare + spread;
-}
-
-target_choice target_pool::choose(instant now, const target_query &query, std::uint64_t draw)
-{
-    target_choice choice;
-    double bestScore = 0;
-    bool bestAvoided = false;
-    bool listed = false;
-    std::uint64_t state = draw;
-    for (auto &[id, target] : m_targets) {
-        if (target.listed.service != query.service || (query.tried && query.tried->contains(id))) {
-            continue;
-        }
-        if (!target.takesNew()) {
-            const bool holds = query.model.empty() || !target.listed.isEngine || target.holds(query.model, query.adapter);
-            choice.outOfReach += holds && !target.listed.leaving && !target.displaced && target.isOutOfReach(now) ? 1 : 0;
-            continue;
-        }
-        listed = true;
-        if (!query.model.empty() && target.listed.isEngine && !target.holds(query.model, query.adapter)) {
-            continue;
-        }
-        choice.candidates += 1;
-        if (inFlightAt(now, target) >= slotsOf(target) || !canRead(target, query.promptTokens)) {
-            continue;
-        }
-        state = state * 6364136223846793005ULL + 1442695040888963407ULL;
-        const bool avoided = target.isAvoided(now);
-        const double score = scoreOf(now, target, state >> 33);
-        const bool better = !choice.target || (bestAvoided && !avoided) || (bestAvoided == avoided && score < bestScore);
-        if (better) {
-            choice.target = &target;
-            bestScore = score;
-            bestAvoided = avoided;
-        }
-    }
-    if (choice.target) {
-        choice.verdict = pool_verdict::Chosen;
-    } else if (choice.candidates > 0) {
-        choice.verdict = pool_verdict::NoRoom;
-    } else {
-        choice.verdict = listed ? pool_verdict::NotResident : pool_verdict::NoTarget;
-    }
-    return choice;
-}
-
-bool target_pool::hasRoom(const service_id &service, const model_id &model) const
-{
-    return std::any_of(m_targets.begin(), m_targets.end(), [&](const auto &entry) {
-        const pool_target &target = entry.second;
-        return target.listed.service == service && target.takesNew() && target.inFlight() < slotsOf(target)
-            && (model.empty() || !target.listed.isEngine || target.holds(model, {}));
-    });
-}
-
 void target_pool::begin(const target_id &id, std::uint32_t promptTokens)
 {
     const auto found = m_targets.find(id);
     if (found != m_targets.end()) {
-        found->second.own += {1, promptTokens};
+        pool_target &target = found->second;
+        target.own += {1, promptTokens};
+        if (target.freed > 0) {
+            target.freed -= 1;
+        } else {
+            target.sentInTurn += 1;
+        }
         m_changedFlights.insert(id);
     }
 }
@@ -415,15 +359,14 @@
     const auto found = m_targets.find(id);
     if (found != m_targets.end() && found->second.own.requests > 0) {
         found->second.own.requests -= 1;
+        found->second.freed += 1;
         read(id, unreadTokens);
     }
 }
 
 static void recordOutcome(instant now, pool_target &target, double newest)
 {
-    const double halvings = std::chrono::duration<double>(now - target.failureShareAt) / std::chrono::duration<double>(failureHalfLife);
-    const double kept = target.failureShare * std::exp2(-std::max(0.0, halvings));
-    target.failureShare = kept * (1 - newestAttemptWeight) + newest * newestAttemptWeight;
+    target.failureShare = target.failureShareNow(now) * (1 - newestAttemptWeight) + newest * newestAttemptWeight;
     target.failureShareAt = now;
 }
 
@@ -471,12 +414,19 @@
     return std::exchange(found->second.silentUntil, instant{}) > now;
 }
 
+/// What others are told of: the attempts of this VM, and the slots that it withholds.
+static target_in_flight toldFlights(const pool_target &target)
+{
+    return {target.own.requests + target.withheld, target.own.unreadTokens};
+}
+
 in_flight_counts target_pool::ownInFlight() const
 {
     in_flight_counts counts;
     for (const auto &[id, target] : m_targets) {
-        if (target.own.requests > 0) {
-            counts[id] = target.own;
+        const target_in_flight told = toldFlights(target);
+        if (told.requests > 0) {
+            counts[id] = told;
         }
     }
     return counts;
@@ -486,8 +436,13 @@
 {
     in_flight_counts counts;
     for (const target_id &id : m_changedFlights) {
-        const pool_target *target = find(id);
-        counts[id] = target ? target->own : target_in_flight();
+        const auto found = m_targets.find(id);
+        if (found == m_targets.end()) {
+            counts[id] = target_in_flight();
+            continue;
+        }
+        found->second.freed = 0;
+        counts[id] = toldFlights(found->second);
     }
     m_changedFlights.clear();
     return counts;
