--- a/packages/gateway/lib/target_choice.cpp
+++ b/packages/gateway/lib/target_choice.cpp
@@ -63,7 +63,8 @@
         return true;
     }
     const std::uint64_t turn = m_turns.turnAt(now);
-    if (!isSpare || turn > target.turn + maxTurnsUnseen) {
+    // The time of day may have been set back.
+    if (!isSpare || turn > target.turn + maxTurnsUnseen || turn < target.crowdedIn) {
         target.crowdedIn = turn;
     }
     if (target.turn != turn) {
