--- a/packages/gateway/unittests/brittle_targets_test.cpp
+++ b/packages/gateway/unittests/brittle_targets_test.cpp
@@ -281,6 +281,31 @@
     EXPECT_GT(fleet.served() * 10, ignorant.served() * 8) << "much room is left unused";
 }
 
+/// Guards against a VM that takes all the room once its time of day is set back.
+TEST(brittle_targets_clock, aTurnBeforeTheLatestGivesNoLargerShare)
+{
+    target_pool pool{domain_id("d")};
+    const instant now{seconds(1000)};
+    target_listing listing;
+    listing.id = target_id("e");
+    listing.service = service;
+    listing.slots = slots;
+    pool.list(now, listing);
+    pool.setBrittle(now, listing.id, true);
+    static constexpr std::size_t vms = 800;
+    target_query query;
+    query.service = service;
+    int sent = 0;
+    for (const milliseconds back : {milliseconds(0), milliseconds(75), milliseconds(150), milliseconds(3600000)}) {
+        pool.setMembers(now, milliseconds(9000050) - back, 0, vms);
+        while (pool.choose(now, query, 1).target) {
+            pool.begin(listing.id, 0);
+            sent += 1;
+        }
+    }
+    EXPECT_LE(sent, 4) << "one in a turn at most";
+}
+
 TEST_P(brittle_targets, hardlyFallOverBesideAVmThatIsCutOffFromTheOthers)
 {
     brittle_fleet fleet(GetParam(), true, 1);
