--- a/tests/store_gate.h
+++ b/tests/store_gate.h
@@ -1,5 +1,5 @@
 /// \file
-/// A TCP forwarder between one VM and the store, which can be closed: the store then serves all other VMs.
+/// A TCP forwarder between one VM and the store, which can be closed or swallow everything: the store then serves all other VMs.
 #pragma once
 
 #include <asio.hpp>
@@ -41,14 +41,22 @@
         return m_port;
     }
 
-    /// From now on all connections are reset, existing ones with their next byte.
+    enum class state {
+        Open,
+        Closed, ///< all connections are reset, existing ones with their next byte
+        Silent, ///< connections are accepted and their bytes swallowed; those of existing ones too, for good
+    };
+    void set(state now)
+    {
+        m_state = now;
+    }
     void close()
     {
-        m_closed = true;
+        set(state::Closed);
     }
     void open()
     {
-        m_closed = false;
+        set(state::Open);
     }
 
 private:
@@ -57,6 +65,7 @@
         asio::ip::tcp::socket vm;
         asio::ip::tcp::socket store;
         std::array<std::array<char, 4096>, 2> buffers{};
+        bool isSilent = false; ///< an answer was swallowed, so nothing further comes
     };
 
     void accept()
@@ -67,10 +76,11 @@
             }
             auto made = std::make_shared<link>(link{std::move(vm), asio::ip::tcp::socket(m_context)});
             asio::error_code refused;
-            if (!m_closed) {
+            const state accepted = m_state;
+            if (accepted != state::Closed) {
                 made->store.connect(m_store, refused);
             }
-            if (!m_closed && !refused) {
+            if (accepted != state::Closed && !refused) {
                 pump(made, made->vm, made->store, 0);
                 pump(made, made->store, made->vm, 1);
             }
@@ -83,10 +93,11 @@
         from.async_read_some(asio::buffer(through->buffers[side]),
                              [this, through, &from, &to, side](const asio::error_code &problem, std::size_t size) {
                                  asio::error_code broken = problem;
-                                 if (!broken && !m_closed) {
+                                 through->isSilent = through->isSilent || m_state == state::Silent;
+                                 if (!broken && m_state != state::Closed && !through->isSilent) {
                                      asio::write(to, asio::buffer(through->buffers[side], size), broken);
                                  }
-                                 if (broken || m_closed) {
+                                 if (broken || m_state == state::Closed) {
                                      asio::error_code ignored;
                                      through->vm.close(ignored);
                                      through->store.close(ignored);
@@ -100,7 +111,7 @@
     asio::ip::tcp::acceptor m_acceptor;
     const asio::ip::tcp::endpoint m_store;
     const std::uint16_t m_port;
-    std::atomic<bool> m_closed{false};
+    std::atomic<state> m_state{state::Open};
     std::jthread m_thread; ///< last, so that it ends first
 };
 
