--- a/packages/fleet/include/fuchsialoom/fleet/fleet_node.h
+++ b/packages/fleet/include/fuchsialoom/fleet/fleet_node.h
@@ -142,6 +142,8 @@
     const vm_record *servingRelay(instant now) const;
     /// Other relays that are within their suspect timeout.
     std::vector<vm_record> liveRelays() const;
+    /// The relays that this VM may ask, which may not answer where it is a member; in an order of its own, so that VMs spread over them.
+    std::vector<vm_record> relaysToAsk() const;
     /// The other VMs that are heard or, where this VM hears few of the fleet itself, all that have registered, some of which may have
     /// ended.
     std::vector<fleet_peer> peers() const;
--- a/packages/fleet/lib/fleet_peers.cpp
+++ b/packages/fleet/lib/fleet_peers.cpp
@@ -2,7 +2,10 @@
 /// Which other VMs are heard, and which of them may serve requests of this one.
 #include "fuchsialoom/fleet/fleet_node.h"
 
+#include "fuchsialoom/support/hash.h"
+
 #include <algorithm>
+#include <iterator>
 
 namespace fuchsialoom
 {
@@ -19,6 +22,22 @@
     return live;
 }
 
+std::vector<vm_record> fleet_node::relaysToAsk() const
+{
+    std::vector<vm_record> relays;
+    if (m_relaySelection.isRelay()) {
+        relays = liveRelays();
+    } else {
+        for (const domain_id &domain : m_membership.domains()) {
+            std::ranges::move(m_membership.relaysOf(domain), std::back_inserter(relays));
+        }
+    }
+    if (!relays.empty()) {
+        std::ranges::rotate(relays, relays.begin() + static_cast<std::ptrdiff_t>(hashOf(m_self.vm.text()).value() % relays.size()));
+    }
+    return relays;
+}
+
 std::vector<vm_record> fleet_node::heardOrRegistered() const
 {
     std::vector<vm_record> heard = liveRelays();
