--- a/packages/http/unittests/answer_reader_test.cpp
+++ b/packages/http/unittests/answer_reader_test.cpp
@@ -99,4 +99,22 @@
     EXPECT_TRUE(reader.consume("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n").complete);
 }
 
+TEST(answer_reader, aHeadThatIsCutAtAnyByteIsBroken)
+{
+    const std::string earlier = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+    for (const std::string framing : {"Content-Length: 4\r\n", "Transfer-Encoding: chunked\r\n", ""}) {
+        const std::string head = "HTTP/1.1 200 OK\r\nX-Id: 1\r\n" + framing + "X-Last: 2\r\n\r\n";
+        for (std::size_t cut = 0; cut < head.size(); ++cut) {
+            answer_reader reader;
+            // Another answer has come on the connection.
+            ASSERT_TRUE(reader.consume(earlier).complete);
+            reader.reset(false);
+            reader.consume(head.substr(0, cut));
+            const answer_progress end = reader.finish();
+            EXPECT_TRUE(end.broken) << head.substr(0, cut);
+            EXPECT_FALSE(end.complete || end.headCame) << head.substr(0, cut);
+        }
+    }
+}
+
 } // namespace fuchsialoom
--- a/packages/wire/unittests/engine_client_test.cpp
+++ b/packages/wire/unittests/engine_client_test.cpp
@@ -314,3 +314,14 @@
     EXPECT_EQ(target.start().call(service_id("s"), request, deadlineIn(shortTime)).end, attempt_end::DeadlinePassed);
     callerLeft = true;
 }
+
+TEST(engine_client, aCallWhoseHeadIsCutAtAnyByteIsLost)
+{
+    target_request request;
+    request.body = "body";
+    const std::string head = "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 4\r\n\r\n";
+    for (std::size_t cut = 0; cut < head.size(); ++cut) {
+        const one_answer_target target(head.substr(0, cut), false);
+        EXPECT_EQ(target.client().call(service_id("s"), request, deadlineIn(longTime)).end, attempt_end::Lost) << head.substr(0, cut);
+    }
+}
