--- a/tests/platform_targets_test.cpp
+++ b/tests/platform_targets_test.cpp
@@ -1,5 +1,6 @@
 /// \file
 /// VMs that the store doesn't serve, and targets that leave meanwhile, at the sockets of real processes.
+#include "odd_entries.h"
 #include "platform_world.h"
 #include "store_gate.h"
 
@@ -82,6 +83,27 @@
     int m_requests = 0;
 };
 
+class platform_targets_odd : public testing::Test
+{
+protected:
+    /// Among the entries of targets, and among the records of VMs.
+    void putOddEntries()
+    {
+        m_world.call([&] {
+            for (const auto &[key, text] : oddEntries()) {
+                m_world.store().put("keyed.servers", key, text);
+                m_world.store().put("keyed.nodes", key, text);
+            }
+            for (const char *address : {"nowhere:80", "10.0.0.256:80", "127.0.0.1:0"}) {
+                m_world.store().put(
+                    "keyed.nodes", address, nlohmann::json{{"address", address}, {"domain", "a"}, {"capacity", 9000}}.dump());
+            }
+        });
+    }
+
+    platform_world m_world;
+};
+
 } // namespace
 
 /// Guards against a VM that hears of targets from the store alone.
@@ -123,6 +145,28 @@
     EXPECT_EQ(sendsTo("p1"), requestCount);
 }
 
+/// Guards against VMs that end, or stop to follow the targets, at an entry of another writer.
+TEST_F(platform_targets_odd, entriesOfAnotherWriterEndNoVm)
+{
+    m_world.configure(1);
+    putOddEntries();
+    m_world.addTarget({.id = "p1", .service = "plain", .isEngine = false});
+    m_world.addTarget({.id = "p2", .service = "plain", .isEngine = false});
+    for (const char *domain : {"a", "b"}) {
+        m_world.startVm(domain);
+    }
+    ASSERT_TRUE(m_world.waitReady("vm-1") && m_world.waitReady("vm-2"));
+    putOddEntries();
+    m_world.startVm("b");
+    ASSERT_TRUE(m_world.waitReady("vm-3"));
+    m_world.listTarget("p1", "draining");
+    std::this_thread::sleep_for(drainBound);
+    for (const char *vm : {"vm-1", "vm-2", "vm-3"}) {
+        const platform_answer answer = m_world.ask(vm, {.path = "/post/1", .id = vm, .model = ""});
+        EXPECT_EQ(answer.body, "answer of p2") << vm;
+    }
+}
+
 INSTANTIATE_TEST_SUITE_P(ways,
                          platform_targets,
                          testing::Values(leaving_case{"saidWhileConnectionsAreReset", "draining", gate_state::Closed},
