--- a/packages/fleet/lib/fleet_peers.cpp
+++ b/packages/fleet/lib/fleet_peers.cpp
@@ -33,7 +33,8 @@
         }
     }
     if (!relays.empty()) {
-        std::ranges::rotate(relays, relays.begin() + static_cast<std::ptrdiff_t>(hashOf(m_self.vm.text()).value() % relays.size()));
+        const auto first = static_cast<std::ptrdiff_t>(hashOf(m_self.vm.text()).value() % relays.size());
+        std::rotate(relays.begin(), relays.begin() + first, relays.end());
     }
     return relays;
 }
--- a/tests/platform_targets_test.cpp
+++ b/tests/platform_targets_test.cpp
@@ -145,7 +145,7 @@
     EXPECT_EQ(sendsTo("p1"), requestCount);
 }
 
-/// Guards against VMs that end, or stop to follow the targets, at an entry of another writer.
+/// Guards against VMs that end, or stop following the targets, at an entry of another writer.
 TEST_F(platform_targets_odd, entriesOfAnotherWriterEndNoVm)
 {
     m_world.configure(1);
