Brittle targets: VMs tell each other, through relays too, which services' targets are brittle

Digests carry the services whose targets told their VMs so; relays tell the union of what their members and the other relays report, each source's report replacing its last, as for paths (source_reports). A change goes out early. What a VM hears from others isn't told on as its own, so the word ends with the last VM that has it from a target.

That a second suffices: fleet_sizes.allVmsKnowWithinASecondThatOneHeardOfBrittleTargets, 9, 60 and 330 VMs. Messages of earlier releases are read; crashNewsOfEarlierReleasesAreRead counts its field from the end, where a field has been added.

--- a/packages/fleet/include/fuchsialoom/fleet/fleet_node.h
+++ b/packages/fleet/include/fuchsialoom/fleet/fleet_node.h
@@ -67,6 +67,8 @@
     std::function<void(std::size_t live)> onLiveVms; ///< in the fleet, including this one
     std::function<void(fleet_change change, const vm_id &vm)> onChange;
     std::function<crash_news(const crash_news &news)> onCrashNews; ///< \return the part that this VM didn't know
+    /// \p services: all whose targets have told some VM of the fleet, as far as this one hears, that they are brittle.
+    std::function<void(const std::vector<service_id> &services)> onBrittleServices;
     std::function<crash_news()> knownCrashes; ///< everything that a VM which knows nothing has to hear
 };
 
@@ -206,8 +208,10 @@
     /// Repeats everything that this VM knows, for a VM that was just heard and may know nothing of it.
     void repeatCrashNews(instant now);
     void applyPathReport(instant now, const vm_id &source, const std::vector<vm_key> &withoutPath);
-    /// Of this VM and its members, those that reach no target.
-    std::vector<vm_key> groupWithoutPath() const;
+    void applyBrittleReport(instant now, const vm_id &source, const std::vector<service_id> &services);
+    /// What this VM and its members report.
+    template<typename Key>
+    std::vector<Key> ofGroup(const source_reports<Key> &reports) const;
     std::vector<vm_record> heardOrRegistered() const;
     void withdrawOpposite(const residency_change &residencyChange);
     void updateRole(instant now);
@@ -252,6 +256,7 @@
     std::vector<residency_change> m_unsentChangesForMembers;
     crash_outbox m_crashNews;
     path_reports m_pathReports; ///< by this VM, its members and other relays; at a member by its relay, for the whole fleet
+    source_reports<service_id> m_brittleReports; ///< the same of services with brittle targets
     std::optional<known_holder> m_holder; ///< if it is another VM
     bool m_wasRelay = true;
     bool m_holdsDuty = false; ///< as of the latest digest; a holder stays a relay, since it needs the messages of all relays
--- a/packages/fleet/include/fuchsialoom/fleet/messages.h
+++ b/packages/fleet/include/fuchsialoom/fleet/messages.h
@@ -112,6 +112,7 @@
     std::vector<team_spending> spending; ///< by the VMs that this digest covers
     crash_news crashes;
     std::vector<vm_key> withoutPath; ///< of the VMs that this digest covers, those that reach no target
+    std::vector<service_id> brittle; ///< services whose targets have told one of these VMs that they are brittle
 
     friend bool operator==(const peer_digest &, const peer_digest &) = default;
 };
@@ -146,6 +147,7 @@
     double reach = 1; ///< fraction of the fleet that the relay can reach
     crash_news crashes;
     std::vector<vm_key> withoutPath; ///< VMs of the whole fleet that reach no target; only in full updates
+    std::vector<service_id> brittle; ///< services whose targets are brittle; only in full updates
 
     friend bool operator==(const relay_update &, const relay_update &) = default;
 };
--- a/packages/fleet/lib/fleet_node.cpp
+++ b/packages/fleet/lib/fleet_node.cpp
@@ -130,6 +130,9 @@
     m_fleetInFlight.forget(source);
     m_quotaExchange.forget(source);
     m_pathReports.forget(source);
+    if (m_brittleReports.forget(source)) {
+        m_events.onBrittleServices(m_brittleReports.all());
+    }
     m_events.onSourceRemoved(source);
 }
 
@@ -162,6 +165,7 @@
     applyResidencyChanges(now, digest.residencyChanges, true);
     applyCrashNews(now, digest.crashes, true);
     applyPathReport(now, vm, digest.withoutPath);
+    applyBrittleReport(now, vm, digest.brittle);
     if (isNew) {
         m_events.onChange(fleet_change::MemberJoined, vm);
         repeatCrashNews(now);
@@ -204,6 +208,7 @@
     applyResidencyChanges(now, digest.residencyChanges, false);
     applyCrashNews(now, digest.crashes, false);
     applyPathReport(now, vm, digest.withoutPath);
+    applyBrittleReport(now, vm, digest.brittle);
     for (const endpoint &relay : digest.relays) {
         if (relay != m_self.address && m_seeds.size() < maxKnownSenders) {
             instant &until = m_seeds[relay];
@@ -277,6 +282,9 @@
     if (message.isFull) {
         m_relaySelection.setLiveRelays(message.relays);
         m_pathReports.put(relay, message.withoutPath);
+        if (m_brittleReports.put(relay, message.brittle)) {
+            m_events.onBrittleServices(m_brittleReports.all());
+        }
     }
     m_relayHeardAt = now;
     m_relayNextWithin = message.nextWithin;
--- a/packages/fleet/lib/fleet_peers.cpp
+++ b/packages/fleet/lib/fleet_peers.cpp
@@ -77,13 +77,12 @@
     }
 }
 
-std::vector<vm_key> fleet_node::groupWithoutPath() const
+void fleet_node::applyBrittleReport(instant now, const vm_id &source, const std::vector<service_id> &services)
 {
-    std::vector<vm_key> group = m_pathReports.of(m_self.vm);
-    for (const auto &[vm, member] : m_members) {
-        std::ranges::copy(m_pathReports.of(vm), std::back_inserter(group));
+    if (m_brittleReports.put(source, services)) {
+        m_events.onBrittleServices(m_brittleReports.all());
+        scheduleEarlyDigest(now);
     }
-    return group;
 }
 
 } // namespace fuchsialoom
--- a/packages/fleet/lib/fleet_sending.cpp
+++ b/packages/fleet/lib/fleet_sending.cpp
@@ -198,6 +198,20 @@
     sendRelayRequest(relay_request::NotRelay, std::exchange(m_notRelayReceivers, {}), out);
 }
 
+template<typename Key>
+std::vector<Key> fleet_node::ofGroup(const source_reports<Key> &reports) const
+{
+    std::vector<Key> group = reports.of(m_self.vm);
+    for (const auto &[vm, member] : m_members) {
+        for (Key &key : reports.of(vm)) {
+            if (std::ranges::find(group, key) == group.end()) {
+                group.push_back(std::move(key));
+            }
+        }
+    }
+    return group;
+}
+
 void fleet_node::sendDigests(instant now, fleet_outbox &out)
 {
     std::erase_if(m_adapterRequests, [now](const auto &entry) {
@@ -219,6 +233,7 @@
     m_groupInFlight.set(now, m_self.vm, digest.inFlight);
     m_fleetInFlight.set(now, m_self.vm, digest.inFlight);
     m_pathReports.put(m_self.vm, digest.withoutPath);
+    m_brittleReports.put(m_self.vm, digest.brittle);
     m_unsentAdapterRequests.clear();
     m_unsentChanges.clear();
     m_unsentChangesForMembers.clear();
@@ -247,6 +262,7 @@
         }
         toMembers.message.crashes = m_crashNews.take(now, crash_outbox::channel::Members, false);
         toMembers.message.withoutPath = m_pathReports.all();
+        toMembers.message.brittle = m_brittleReports.all();
         for (const vm_record &one : liveRelays()) {
             if (one.domain == m_self.domain) {
                 toMembers.message.relays.push_back(one.vm);
@@ -265,7 +281,8 @@
     digest.origin = nextOrigin();
     digest.vms = static_cast<std::uint32_t>(1 + m_members.size());
     digest.demand = groupDemand(digest.demand);
-    digest.withoutPath = groupWithoutPath();
+    digest.withoutPath = ofGroup(m_pathReports);
+    digest.brittle = ofGroup(m_brittleReports);
     digest.inFlight = m_groupInFlight.totals();
     m_groupInFlight.takeChanged();
     m_fleetInFlight.takeChanged();
--- a/packages/fleet/lib/messages.cpp
+++ b/packages/fleet/lib/messages.cpp
@@ -317,6 +317,16 @@
     return news;
 }
 
+json encodeService(const service_id &service)
+{
+    return service.text();
+}
+
+service_id decodeService(const json &one)
+{
+    return service_id(one.get<std::string>());
+}
+
 json encodeVmKey(vm_key vm)
 {
     return vm.value;
@@ -349,6 +359,7 @@
     digest.spending = decodeList<team_spending>(read.nextOptional(), decodeSpending);
     digest.crashes = decodeCrashNews(read.nextOptional());
     digest.withoutPath = decodeList<vm_key>(read.nextOptional(), decodeVmKey);
+    digest.brittle = decodeList<service_id>(read.nextOptional(), decodeService);
     return digest;
 }
 
@@ -387,6 +398,7 @@
     message.reach = reach.is_number() ? std::clamp(reach.get<double>(), 0.0, 1.0) : 1.0;
     message.crashes = decodeCrashNews(read.nextOptional());
     message.withoutPath = decodeList<vm_key>(read.nextOptional(), decodeVmKey);
+    message.brittle = decodeList<service_id>(read.nextOptional(), decodeService);
     return message;
 }
 
@@ -430,7 +442,8 @@
                                           }),
                                encodeList(digest.spending, encodeSpending),
                                encodeCrashNews(digest.crashes),
-                               encodeList(digest.withoutPath, encodeVmKey)}));
+                               encodeList(digest.withoutPath, encodeVmKey),
+                               encodeList(digest.brittle, encodeService)}));
 }
 
 std::string encodeDelta(const delta_message &delta)
@@ -463,7 +476,8 @@
                                encodeList(message.balances, encodeBalance),
                                message.reach,
                                encodeCrashNews(message.crashes),
-                               encodeList(message.withoutPath, encodeVmKey)}));
+                               encodeList(message.withoutPath, encodeVmKey),
+                               encodeList(message.brittle, encodeService)}));
 }
 
 std::string encodeMemberUpdate(const std::string &encodedUpdate, const receiver_part &receiver)
--- a/packages/fleet/unittests/fleet_node_test.cpp
+++ b/packages/fleet/unittests/fleet_node_test.cpp
@@ -113,6 +113,34 @@
     EXPECT_EQ(countWrongPaths(fleet), 0U);
 }
 
+/// Guards against members that learn from targets alone that these are brittle.
+TEST_P(fleet_sizes, allVmsKnowWithinASecondThatOneHeardOfBrittleTargets)
+{
+    simulated_fleet fleet(options(4, 0.02));
+    fleet.startAll();
+    fleet.run(settlingTime);
+    const auto countKnowing = [&fleet](std::size_t speaker) {
+        std::size_t knowing = 0;
+        for (std::size_t vm = 0; vm < fleet.size(); ++vm) {
+            knowing += vm != speaker && fleet.isUp(vm) && fleet.at(vm).knowsBrittle ? 1 : 0;
+        }
+        return knowing;
+    };
+    const std::size_t speaker = fleet.size() - 1;
+    fleet.setHearsBrittle(speaker, true);
+    fleet.run(milliseconds(1000));
+    EXPECT_EQ(countKnowing(speaker), fleet.size() - 1);
+    fleet.setHearsBrittle(speaker, false);
+    fleet.run(milliseconds(1000));
+    EXPECT_EQ(countKnowing(speaker), 0U);
+
+    fleet.setHearsBrittle(speaker, true);
+    fleet.run(milliseconds(1000));
+    fleet.kill(speaker);
+    fleet.run(settlingTime);
+    EXPECT_EQ(countKnowing(speaker), 0U) << "the word of a VM that has ended";
+}
+
 TEST_P(fleet_sizes, lostAndLateMessagesAreRecoveredWithinASecondAndAHalf)
 {
     simulated_fleet_options lossy = options(2, 0.05);
--- a/packages/fleet/unittests/messages_test.cpp
+++ b/packages/fleet/unittests/messages_test.cpp
@@ -30,6 +30,7 @@
     digest.crashes = {{{content_hash(0xfedcba9876543210), target_id("e1"), true, milliseconds(1500)}},
                       {{content_hash(9), milliseconds(600000)}}};
     digest.withoutPath = {vm_key(vm_id("vm-4")), vm_key(0xfffffffe)};
+    digest.brittle = {service_id("s")};
     return digest;
 }
 
@@ -49,6 +50,7 @@
     update.message.reach = 0.75;
     update.message.crashes = {{{content_hash(8), target_id("e2"), false, milliseconds(0)}}, {}};
     update.message.withoutPath = {vm_key(7)};
+    update.message.brittle = {service_id("s"), service_id("t")};
     update.receiver.inFlight = {{target_id("e1"), {2, 600}}};
     update.receiver.spending = {{team_id("t1"), 900}};
     return update;
@@ -114,7 +116,7 @@
     peer_digest digest = sampleDigest();
     digest.crashes = {{{content_hash(1), target_id("e1"), false, milliseconds(5), true}}, {{content_hash(9), milliseconds(50)}}, {}};
     nlohmann::json fields = nlohmann::json::from_cbor(encodeDigest(digest));
-    nlohmann::json &crashes = fields.at(fields.size() - 2);
+    nlohmann::json &crashes = fields.at(fields.size() - 3);
     ASSERT_EQ(crashes.size(), 3U);
     crashes.erase(2);
     ASSERT_EQ(crashes.at(0).at(0).size(), 5U);
@@ -126,7 +128,8 @@
     EXPECT_EQ(*decoded, peer_datagram(digest));
 }
 
-/// VMs of a release without quotas, crash news or reports of paths send arrays that end earlier, and read longer ones.
+/// VMs of a release without quotas, crash news, or reports of paths and of brittle targets send arrays that end earlier, and read longer
+/// ones.
 TEST(messages, fieldsOfLaterReleasesMayBeMissing)
 {
     peer_digest digest = sampleDigest();
@@ -137,6 +140,8 @@
         nlohmann::json::to_cbor(fields, nlohmann::detail::output_adapter<char>(bytes));
         return bytes;
     };
+    digest.brittle.clear();
+    EXPECT_EQ(decodeDatagram(dropLastField()), peer_datagram(digest));
     digest.withoutPath.clear();
     EXPECT_EQ(decodeDatagram(dropLastField()), peer_datagram(digest));
     digest.crashes = {};
--- a/packages/fleet/unittests/simulated_fleet.cpp
+++ b/packages/fleet/unittests/simulated_fleet.cpp
@@ -50,6 +50,9 @@
         if (!state.reachesTargets) {
             digest.withoutPath.emplace_back(state.record.vm);
         }
+        if (state.hearsBrittle) {
+            digest.brittle.emplace_back("s");
+        }
         if (state.fence) {
             digest.holder = holder_announcement{*state.fence, milliseconds(0)};
         }
@@ -85,6 +88,9 @@
         key.present = true;
         state.latestResidency[key] = residencyChange.present;
     };
+    events.onBrittleServices = [&state](const std::vector<service_id> &services) {
+        state.knowsBrittle = !services.empty();
+    };
     events.onHolderAnnounced = [this, &state](milliseconds) {
         state.holderHeardAt = m_now;
     };
@@ -110,6 +116,7 @@
     state.seen = in_flight_tracker();
     state.own.clear();
     state.changed.clear();
+    state.knowsBrittle = false;
     state.quotas = std::make_unique<team_quotas>();
     state.quotas->configure(m_now, m_options.quotas);
     state.node = std::make_unique<fleet_node>(state.record, state.incarnation, *state.quotas, eventsOf(vm));
@@ -183,6 +190,12 @@
     m_vms[vm].node->scheduleEarlyDigest(m_now);
 }
 
+void simulated_fleet::setHearsBrittle(std::size_t vm, bool hears)
+{
+    m_vms[vm].hearsBrittle = hears;
+    m_vms[vm].node->scheduleEarlyDigest(m_now);
+}
+
 void simulated_fleet::kill(std::size_t vm)
 {
     m_vms[vm].crashes = {};
--- a/packages/fleet/unittests/simulated_fleet.h
+++ b/packages/fleet/unittests/simulated_fleet.h
@@ -40,6 +40,8 @@
         std::uint64_t incarnation = 0;
         bool frozen = false;
         bool reachesTargets = true;
+        bool hearsBrittle = false; ///< targets of the service "s" tell this VM that they are brittle
+        bool knowsBrittle = false; ///< others have told it
         in_flight_counts own; ///< actual in-flight counts of this VM
         std::set<target_key> changed;
         in_flight_tracker seen; ///< in-flight counts of other VMs, as reported to this one
@@ -73,6 +75,8 @@
     void readQuarantineInStore(const domain_id &domain, content_hash fingerprint);
     /// VM \p vm loses its path to the targets, or has it again.
     void setReachesTargets(std::size_t vm, bool reaches);
+    /// Targets of the service "s" tell VM \p vm that they are brittle, or no more.
+    void setHearsBrittle(std::size_t vm, bool hears);
     void kill(std::size_t vm);
     void restart(std::size_t vm);
     void freeze(std::size_t vm, bool frozen);
--- a/packages/gateway/include/fuchsialoom/gateway/gateway.h
+++ b/packages/gateway/include/fuchsialoom/gateway/gateway.h
@@ -247,6 +247,11 @@
     {
         m_onPathChange = std::move(callback);
     }
+    /// Sets the callback for targets that say for the first time, or no more, that they are brittle.
+    void onBrittleChange(std::function<void()> callback)
+    {
+        m_onBrittleChange = std::move(callback);
+    }
     /// Prometheus text of the path and of the requests that were passed on.
     std::string pathMetrics() const;
     /// Whether requests go to other VMs, since this one has no path.
@@ -410,6 +415,7 @@
     std::function<void()> m_onInFlightChanged;
     std::function<void(const target_id &, bool isAlive)> m_onReachability;
     std::function<void()> m_onPathChange;
+    std::function<void()> m_onBrittleChange;
     std::function<void(const crash_news &)> m_onCrashNews;
     std::function<milliseconds()> m_timeUntilOrders;
     asio::steady_timer m_queueTimer;
--- a/packages/gateway/include/fuchsialoom/gateway/target_pool.h
+++ b/packages/gateway/include/fuchsialoom/gateway/target_pool.h
@@ -201,6 +201,10 @@
     /// The target said whether it and the others of its service are brittle: they end when they turn many requests away. \return whether
     /// that is news.
     bool setBrittle(instant now, const target_id &id, bool isBrittle);
+    /// Other VMs were told so by targets of \p services, and of no others.
+    void setBrittleElsewhere(const std::vector<service_id> &services);
+    /// The services of which targets have told this VM that they are brittle.
+    std::vector<service_id> brittleServices(instant now) const;
     /// The target didn't run a request. If it is brittle, it counts as full at all VMs for a while.
     void noteTurnedAway(instant now, const target_id &id);
     /// Whether the target is unreachable by the word of a peer alone, although this VM hears it.
@@ -255,7 +259,8 @@
     std::map<target_key, target_id> m_keys; ///< ids of the listed targets
     in_flight_tracker m_peers;
     std::map<service_id, microseconds> m_runs; ///< moving average of run times by service; used for plain targets
-    std::map<service_id, instant> m_brittleUntil; ///< services whose targets are brittle
+    std::map<service_id, instant> m_brittleUntil; ///< services whose targets told this VM that they are brittle
+    std::set<service_id> m_brittleElsewhere; ///< services whose targets told it to other VMs
     room_turns m_turns;
     std::set<target_id> m_changedFlights; ///< targets whose own counts changed and weren't taken yet
     std::map<target_id, std::vector<unexpired_change>> m_residencyChanges; ///< not yet in all listings; bounded by their expiry
--- a/packages/gateway/lib/exchange_attempts.cpp
+++ b/packages/gateway/lib/exchange_attempts.cpp
@@ -182,6 +182,9 @@
                                   .with("state", isBrittle ? "begun" : "over")
                                   .with("target", one.target)
                                   .with("turns-away", facts.maxTurnedAway.value_or(0)));
+        if (m_gateway.m_onBrittleChange) {
+            m_gateway.m_onBrittleChange();
+        }
     }
     one.relaysEvents = isStream() && head.status == 200 && facts.signedByTarget && !facts.notRun;
 }
--- a/packages/gateway/lib/target_choice.cpp
+++ b/packages/gateway/lib/target_choice.cpp
@@ -53,7 +53,7 @@
 bool target_pool::isBrittle(instant now, const service_id &service) const
 {
     const auto found = m_brittleUntil.find(service);
-    return found != m_brittleUntil.end() && now < found->second;
+    return (found != m_brittleUntil.end() && now < found->second) || m_brittleElsewhere.contains(service);
 }
 
 bool target_pool::mayFill(instant now, pool_target &target, std::uint32_t room, bool isFresh)
--- a/packages/gateway/lib/target_pool.cpp
+++ b/packages/gateway/lib/target_pool.cpp
@@ -269,10 +269,26 @@
     const bool wasBrittle = this->isBrittle(now, target->listed.service);
     if (isBrittle) {
         m_brittleUntil[target->listed.service] = now + brittleWordTime;
-    } else if (wasBrittle) {
+    } else {
         m_brittleUntil.erase(target->listed.service);
     }
-    return isBrittle != wasBrittle;
+    return this->isBrittle(now, target->listed.service) != wasBrittle;
+}
+
+void target_pool::setBrittleElsewhere(const std::vector<service_id> &services)
+{
+    m_brittleElsewhere = {services.begin(), services.end()};
+}
+
+std::vector<service_id> target_pool::brittleServices(instant now) const
+{
+    std::vector<service_id> services;
+    for (const auto &[service, until] : m_brittleUntil) {
+        if (now < until) {
+            services.push_back(service);
+        }
+    }
+    return services;
 }
 
 void target_pool::noteTurnedAway(instant now, const target_id &id)
--- a/packages/gateway/unittests/brittle_targets_test.cpp
+++ b/packages/gateway/unittests/brittle_targets_test.cpp
@@ -1,6 +1,7 @@
 /// \file
-/// Fleets that send to brittle targets, which end when they turn many requests away. Virtual time; each VM hears of the others' sends with
-/// a delay, and that targets are brittle from their answers to it alone.
+/// Fleets that send to brittle targets, which end when they turn many requests away. Virtual time; each VM hears of the others' sends, and
+/// of what targets told them, with delays.
+#include "fuchsialoom/fleet/source_reports.h"
 #include "fuchsialoom/gateway/target_pool.h"
 
 #include <gtest/gtest.h>
@@ -25,6 +26,7 @@
 constexpr std::size_t maxTurnedAway = 3; ///< in a second
 constexpr milliseconds step{5};
 constexpr milliseconds tellingTime{20}; ///< until the others hear of a send
+constexpr milliseconds brittleTellingTime{1000}; ///< until the others hear that targets have said that they are brittle
 constexpr milliseconds clockSkew{4};
 constexpr milliseconds wordTime{3000}; ///< from the first answers that say it until targets turn away what they have no slot for
 
@@ -48,6 +50,8 @@
     target_pool pool{domain_id("d")};
     std::size_t waiting = 0; ///< requests that have found no room
     bool isCutOff = false; ///< it and the others don't hear of each other
+    std::vector<service_id> toldBrittle; ///< its latest report
+    source_reports<service_id> brittleElsewhere;
 };
 
 class brittle_fleet
@@ -90,6 +94,7 @@
         std::poisson_distribution<int> arrivals(perSecond * static_cast<double>(step.count()) / 1000);
         for (; m_now < end; m_now += step) {
             hear();
+            hearBrittle();
             endRuns();
             const int arriving = arrivals(m_random);
             for (int number = 0; number < arriving; ++number) {
@@ -146,6 +151,12 @@
         std::size_t vm;
         in_flight_counts counts;
     };
+    struct told_brittle
+    {
+        instant at;
+        std::size_t vm;
+        std::vector<service_id> services;
+    };
 
     void hear()
     {
@@ -159,6 +170,20 @@
         }
     }
 
+    void hearBrittle()
+    {
+        for (; !m_toldBrittle.empty() && m_toldBrittle.front().at <= m_now; m_toldBrittle.pop_front()) {
+            const told_brittle &told = m_toldBrittle.front();
+            for (std::size_t vm = 0; vm < m_vms.size(); ++vm) {
+                vm_model &hearer = *m_vms[vm];
+                const bool hears = vm != told.vm && !hearer.isCutOff && !m_vms[told.vm]->isCutOff;
+                if (hears && hearer.brittleElsewhere.put(m_vms[told.vm]->id, told.services)) {
+                    hearer.pool.setBrittleElsewhere(hearer.brittleElsewhere.all());
+                }
+            }
+        }
+    }
+
     void tell()
     {
         const bool isDigestDue = m_now >= m_nextDigestAt;
@@ -168,6 +193,10 @@
             if (isDigestDue) {
                 pool.expirePeers(m_now);
             }
+            if (pool.brittleServices(m_now) != m_vms[vm]->toldBrittle) {
+                m_vms[vm]->toldBrittle = pool.brittleServices(m_now);
+                m_toldBrittle.push_back({m_now + brittleTellingTime, vm, m_vms[vm]->toldBrittle});
+            }
             const in_flight_counts changed = pool.takeChangedFlights();
             if (isDigestDue || !changed.empty()) {
                 m_told.push_back({m_now + tellingTime, vm, changed});
@@ -248,6 +277,7 @@
     std::vector<std::unique_ptr<vm_model>> m_vms;
     std::vector<engine_model> m_engines;
     std::deque<told_counts> m_told;
+    std::deque<told_brittle> m_toldBrittle;
     std::size_t m_served = 0;
     std::size_t m_turnedAway = 0;
 };
--- a/tests/platform_brittle_test.cpp
+++ b/tests/platform_brittle_test.cpp
@@ -31,10 +31,15 @@
     return request;
 }
 
+/// The parameter is the number of VMs that the engines tell that they are brittle; the others hear it from these.
+class platform_brittle : public testing::TestWithParam<std::size_t>
+{
+};
+
 } // namespace
 
 /// Guards against VMs that all send to the same free slot, so that engines turn requests away and fall over.
-TEST(platform_brittle, enginesHardlyFallOverWhileAllVmsHaveRequestsWaiting)
+TEST_P(platform_brittle, enginesHardlyFallOverWhileAllVmsHaveRequestsWaiting)
 {
     platform_world world;
     world.configure(platform_world::configurationOf(1, 2, true));
@@ -55,9 +60,10 @@
         ASSERT_TRUE(world.waitReady(vm)) << world.vm(vm).wholeOutput();
     }
     std::this_thread::sleep_for(std::chrono::seconds(1)); // the VMs find each other
-    for (const std::string &vm : started) {
-        EXPECT_EQ(world.ask(vm, chatRequest("word-" + vm)).status, 200) << "the VM hears that the engines are brittle";
+    for (std::size_t vm = 0; vm < GetParam(); ++vm) {
+        EXPECT_EQ(world.ask(started[vm], chatRequest("word-" + started[vm])).status, 200) << "the VM hears that the engines are brittle";
     }
+    std::this_thread::sleep_for(std::chrono::seconds(1)); // and tells the others
     std::vector<std::future<platform_answer>> answers;
     for (int number = 0; number < requestsPerVm; ++number) {
         for (const std::string &vm : started) {
@@ -83,4 +89,6 @@
     EXPECT_GT(served, answers.size() / 2) << "the engines have room for all of them within their deadlines";
 }
 
+INSTANTIATE_TEST_SUITE_P(told, platform_brittle, testing::Values(1, vms));
+
 } // namespace fuchsialoom
