Brittle targets: a VM's own word ends at itself as well

The reports that a VM combines hold its own, and a change of that alone wasn't passed on: if another VM's report had changed meanwhile, the VM took the service for brittle until the next change. fleet_sizes.allVmsKnowWithinASecondThatOneHeardOfBrittleTargets: red at 9, 60 and 330 VMs before, green with it.

--- a/packages/fleet/lib/fleet_sending.cpp
+++ b/packages/fleet/lib/fleet_sending.cpp
@@ -233,7 +233,9 @@
     m_groupInFlight.set(now, m_self.vm, digest.inFlight);
     m_fleetInFlight.set(now, m_self.vm, digest.inFlight);
     m_pathReports.put(m_self.vm, digest.withoutPath);
-    m_brittleReports.put(m_self.vm, digest.brittle);
+    if (m_brittleReports.put(m_self.vm, digest.brittle)) {
+        m_events.onBrittleServices(m_brittleReports.all());
+    }
     m_unsentAdapterRequests.clear();
     m_unsentChanges.clear();
     m_unsentChangesForMembers.clear();
--- a/packages/fleet/unittests/fleet_node_test.cpp
+++ b/packages/fleet/unittests/fleet_node_test.cpp
@@ -134,6 +134,19 @@
     fleet.run(milliseconds(1000));
     EXPECT_EQ(countKnowing(speaker), 0U);
 
+    // A VM whose own word ends after that of others, at a relay and at a member.
+    for (const std::size_t last : {fleet.relays().front(), speaker}) {
+        const std::size_t first = fleet.relays().back();
+        fleet.setHearsBrittle(last, true);
+        fleet.setHearsBrittle(first, true);
+        fleet.run(milliseconds(1000));
+        fleet.setHearsBrittle(first, false);
+        fleet.run(milliseconds(1000));
+        fleet.setHearsBrittle(last, false);
+        fleet.run(milliseconds(1000));
+        EXPECT_FALSE(fleet.at(last).knowsBrittle) << "its own word that has ended";
+    }
+
     fleet.setHearsBrittle(speaker, true);
     fleet.run(milliseconds(1000));
     fleet.kill(speaker);
