--- a/review/common/scene.cpp
+++ b/review/common/scene.cpp
@@ -363,6 +363,7 @@
     , m_id(std::move(id))
     , m_service(std::move(service))
     , m_address(address.address().to_string() + ":" + std::to_string(address.port()))
+    , m_loop(loop)
     , m_beatTimer(loop)
     , m_listener(loop,
                  address,
@@ -401,7 +402,7 @@
                          {"zone", "a"},
                          {"version", "v1"},
                          {"slots", 8},
-                         {"state", "ready"},
+                         {"state", m_state},
                          {"cold_left_ms", 0},
                          {"seq", ++m_beats}};
     completeLoad();
@@ -413,6 +414,9 @@
 
 void review_engine::beat()
 {
+    if (m_hasExited) {
+        return;
+    }
     if (!m_store.isAway()) {
         writeEntry();
     }
@@ -534,11 +538,11 @@
         caller->respond(421, std::move(headers), {});
         return;
     }
-    m_runs[id] += 1;
+    m_runs.push_back({steady::now(), id});
     m_record.write("engine " + m_id + " runs " + id + " for " + request.target + " " + wanted);
     headers.add("X-Answer-Stamp", m_id + ".stamp");
     if (!m_isEngine) {
-        caller->respond(200, std::move(headers), "answer of " + m_id);
+        answerLater(caller, std::move(headers));
         return;
     }
     headers.add("Content-Type", "text/event-stream");
@@ -547,6 +551,42 @@
     caller->endStream();
 }
 
+void review_engine::answerLater(const std::shared_ptr<caller_link> &caller, header_list headers)
+{
+    m_callers.push_back(caller);
+    const std::size_t run = m_runs.size() - 1;
+    const auto timer = std::make_shared<asio::steady_timer>(m_loop, m_runTime);
+    timer->async_wait([this, timer, caller, headers = std::move(headers), run](const asio::error_code &) mutable {
+        if (m_hasExited) {
+            m_runs[run].isCut = true;
+            m_record.write("engine " + m_id + " has exited during the run of " + m_runs[run].id);
+            return;
+        }
+        if (caller->isOpen()) {
+            caller->respond(200, std::move(headers), "answer of " + m_id);
+        }
+    });
+}
+
+void review_engine::drain()
+{
+    m_state = "draining";
+    m_record.write("engine " + m_id + " reports draining");
+    writeEntry();
+}
+
+void review_engine::exit()
+{
+    m_record.write("engine " + m_id + " exits");
+    m_hasExited = true;
+    m_listener.stopAccepting();
+    for (const std::weak_ptr<caller_link> &caller : m_callers) {
+        if (const auto open = caller.lock()) {
+            open->abort();
+        }
+    }
+}
+
 // VMs.
 
 review_vm::review_vm(std::string name, std::string address, std::string settingsPath, std::string logPath)
--- a/review/common/scene.h
+++ b/review/common/scene.h
@@ -119,6 +119,14 @@
     int status = 0;
 };
 
+/// A request that an engine began to run.
+struct engine_run
+{
+    steady::time_point at;
+    std::string id;
+    bool isCut = false; ///< the engine exited before the answer
+};
+
 /// A model engine, or a plain server without models.
 class review_engine
 {
@@ -140,11 +148,20 @@
     {
         return m_orders;
     }
-    /// How often each request id ran.
-    const std::map<std::string, int> &runs() const
+    /// All runs, oldest first.
+    const std::vector<engine_run> &runs() const
     {
         return m_runs;
     }
+    /// How long a plain server works on a request.
+    void setRunTime(std::chrono::milliseconds time)
+    {
+        m_runTime = time;
+    }
+    /// From now on its entry says that it leaves; it serves on until it exits.
+    void drain();
+    /// Resets all connections and takes no more.
+    void exit();
     /// Writes its entry now, beside the heartbeats.
     void writeEntry();
 
@@ -155,6 +172,7 @@
     void completeLoad();
     std::string report();
     void beat();
+    void answerLater(const std::shared_ptr<caller_link> &caller, header_list headers);
 
     review_store &m_store;
     case_record &m_record;
@@ -169,7 +187,12 @@
     std::uint64_t m_orderCount = 0;
     std::uint64_t m_beats = 0;
     std::vector<received_order> m_orders;
-    std::map<std::string, int> m_runs;
+    std::vector<engine_run> m_runs;
+    std::vector<std::weak_ptr<caller_link>> m_callers;
+    std::chrono::milliseconds m_runTime{0};
+    std::string m_state = "ready";
+    bool m_hasExited = false;
+    asio::io_context &m_loop;
     asio::steady_timer m_beatTimer;
     caller_limits m_limits;
     caller_listener m_listener;
