--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -11,8 +11,8 @@
 static constexpr int vmCount = 18;
 static constexpr milliseconds awayTime{300};
 static constexpr milliseconds copyAge{5000};
-static constexpr milliseconds stableTime{3000};
-static constexpr milliseconds applyTime{2000};
+static constexpr milliseconds stableTime{4000};
+static constexpr milliseconds applyTime{3000};
 
 static nlohmann::json configurationOf(int version, const std::string &service)
 {
@@ -42,6 +42,16 @@
     }
     case_record record(words[1]);
     scene world(record);
+    // Of a site with more than 16 machines.
+    world.setBounds({{"stable_ms", 4000},
+                     {"ack_ms", 6000},
+                     {"sync_s", 6},
+                     {"drain_ms", 3000},
+                     {"config_apply_ms", 3000},
+                     {"stretch_max_ms", 6000},
+                     {"retry_slack", 184},
+                     {"recovery_s", 15},
+                     {"pass_ms", 200}});
     world.addEngine("p1", "plain", {});
     world.addEngine("o1", "other", {});
     world.writeConfiguration(configurationOf(1, "plain"));
--- a/review/common/scene.cpp
+++ b/review/common/scene.cpp
@@ -699,7 +699,7 @@
         return address + ":" + std::to_string(port);
     };
     // The template of the deploy file, filled in for a small deployment.
-    const nlohmann::json settings{
+    nlohmann::json settings{
         {"vm", name},
         {"domain", zone},
         {"region", "r"},
@@ -719,6 +719,7 @@
           {"stretch_max_ms", 5000}, {"retry_ratio", 0.2},  {"retry_window_s", 10},   {"retry_slack", 58},       {"recovery_s", 12},
           {"pass_ms", 120},         {"retry_after_s", 0},  {"fence_checked", false}, {"lease_ms", 3000},        {"freeze_slack_ms", 300},
           {"ceiling_window_s", 5},  {"origin_excess", 1.1}}}};
+    settings["bounds"].update(m_changedBounds);
     const std::string settingsPath = m_folder + "/" + name + ".json";
     std::ofstream(settingsPath) << settings.dump(2);
     m_vms[name] = std::make_unique<review_vm>(name, address, settingsPath, m_folder + "/" + name + ".log");
--- a/review/common/scene.h
+++ b/review/common/scene.h
@@ -270,6 +270,11 @@
         return m_record;
     }
     void addEngine(const std::string &id, const std::string &service, const std::set<std::string> &models);
+    /// Changes bounds of the settings of VMs that are added later.
+    void setBounds(const nlohmann::json &changed)
+    {
+        m_changedBounds = changed;
+    }
     /// \p firstStart: the whole system starts.
     void addVm(const std::string &name, const std::string &zone, bool firstStart);
     void writeConfiguration(const nlohmann::json &configuration);
@@ -291,6 +296,7 @@
     asio::executor_work_guard<asio::io_context::executor_type> m_work;
     std::string m_folder;
     std::string m_prefix; ///< of the loopback addresses of this scene
+    nlohmann::json m_changedBounds = nlohmann::json::object();
     int m_addresses = 0;
     std::atomic<int> m_requests = 0;
     std::unique_ptr<review_store> m_store;
