--- a/review/common/scene.cpp
+++ b/review/common/scene.cpp
@@ -538,6 +538,10 @@
         caller->respond(421, std::move(headers), {});
         return;
     }
+    if (m_isEngine && m_refusal > milliseconds(0) && request.headers.find("Last-Event-Id")) {
+        refuseLater(caller, std::move(headers), id);
+        return;
+    }
     m_runs.push_back({steady::now(), id});
     m_record.write("engine " + m_id + " runs " + id + " for " + request.target + " " + wanted);
     headers.add("X-Answer-Stamp", m_id + ".stamp");
@@ -546,9 +550,47 @@
         return;
     }
     headers.add("Content-Type", "text/event-stream");
+    stream(caller, std::move(headers), id);
+}
+
+void review_engine::later(milliseconds pause, std::function<void()> step)
+{
+    const auto timer = std::make_shared<asio::steady_timer>(m_loop, pause);
+    timer->async_wait([timer, step = std::move(step)](const asio::error_code &) {
+        step();
+    });
+}
+
+void review_engine::refuseLater(const std::shared_ptr<caller_link> &caller, header_list headers, const std::string &id)
+{
+    m_record.write("engine " + m_id + " has " + id + " to resume");
+    headers.add("X-Not-Run", "1");
+    later(m_refusal, [this, caller, headers = std::move(headers), id] {
+        if (caller->isOpen()) {
+            m_record.write("engine " + m_id + " is full and refuses " + id);
+            caller->respond(503, headers, {});
+        }
+    });
+}
+
+void review_engine::stream(const std::shared_ptr<caller_link> &caller, header_list headers, const std::string &id)
+{
+    caller->onGone([this, id] {
+        m_record.write("the VM closes the run of " + id + " at engine " + m_id);
+    });
     caller->startStream(200, std::move(headers));
     caller->sendPart("id: 1\ndata: one\n\nid: 2\ndata: two\n\n");
-    caller->endStream();
+    if (m_silence == milliseconds(0)) {
+        caller->endStream();
+        return;
+    }
+    later(m_silence, [this, caller, id] {
+        if (caller->isOpen()) {
+            m_record.write("engine " + m_id + " goes on with " + id);
+            caller->sendPart("id: 3\ndata: three\n\n");
+            caller->endStream();
+        }
+    });
 }
 
 void review_engine::answerLater(const std::shared_ptr<caller_link> &caller, header_list headers)
@@ -820,6 +862,16 @@
     return answer;
 }
 
+std::future<client_answer> scene::askAside(const std::string &vm, const std::string &path, const std::string &model, int deadlineMs)
+{
+    std::packaged_task<client_answer()> task([this, vm, path, model, deadlineMs] {
+        return ask(vm, path, model, deadlineMs);
+    });
+    std::future<client_answer> result = task.get_future();
+    m_clients.emplace_back(std::move(task));
+    return result;
+}
+
 void scene::askLater(const std::string &vm, const std::string &path, const std::string &model, int deadlineMs)
 {
     m_clients.emplace_back([this, vm, path, model, deadlineMs] {
--- a/review/common/scene.h
+++ b/review/common/scene.h
@@ -158,6 +158,13 @@
     {
         m_runTime = time;
     }
+    /// From now on a stream is silent for \p length after its second event and then goes on; a request to resume a stream waits for
+    /// \p refusal and is then refused as not run.
+    void setSilence(std::chrono::milliseconds length, std::chrono::milliseconds refusal)
+    {
+        m_silence = length;
+        m_refusal = refusal;
+    }
     /// From now on its entry says that it leaves; it serves on until it exits.
     void drain();
     /// Resets all connections and takes no more.
@@ -172,6 +179,9 @@
     void completeLoad();
     std::string report();
     void beat();
+    void later(std::chrono::milliseconds pause, std::function<void()> step);
+    void stream(const std::shared_ptr<caller_link> &caller, header_list headers, const std::string &id);
+    void refuseLater(const std::shared_ptr<caller_link> &caller, header_list headers, const std::string &id);
     void answerLater(const std::shared_ptr<caller_link> &caller, header_list headers);
 
     review_store &m_store;
@@ -191,6 +201,8 @@
     std::vector<std::weak_ptr<caller_link>> m_callers;
     std::chrono::milliseconds m_runTime{0};
     std::string m_state = "ready";
+    std::chrono::milliseconds m_silence{0};
+    std::chrono::milliseconds m_refusal{0};
     bool m_hasExited = false;
     asio::io_context &m_loop;
     asio::steady_timer m_beatTimer;
@@ -282,6 +294,8 @@
     bool waitReady(const std::string &vm, std::chrono::seconds limit);
     /// Sends a request for \p model on a new connection and waits for the answer.
     client_answer ask(const std::string &vm, const std::string &path, const std::string &model, int deadlineMs);
+    /// The same with the answer as a result that comes later.
+    std::future<client_answer> askAside(const std::string &vm, const std::string &path, const std::string &model, int deadlineMs);
     /// The same without waiting for the answer.
     void askLater(const std::string &vm, const std::string &path, const std::string &model, int deadlineMs);
     /// The VM that wrote the newest lease record, and what kind of record it is.
