Lease: a VM's last order counts beyond its term

Cause: becomeHolder() dropped the time of the last order, and a term without an order counted as one whose turn was over. The same value goes into the announcement of a lease that lapsed. A term that ended before its first order also reported 0 in place of the time that its holder still had to wait; that is negative in a release now, and not announced.

--- a/packages/gateway/include/fuchsialoom/gateway/duty_lease.h
+++ b/packages/gateway/include/fuchsialoom/gateway/duty_lease.h
@@ -50,7 +50,7 @@
     vm_id holder;
     std::uint64_t incarnation = 0;
     std::uint64_t fence = 0; ///< log offset of the claim; 0 in the claim itself
-    milliseconds sinceLastOrder{0}; ///< set in a release only
+    milliseconds sinceLastOrder{0}; ///< set in a release only; negative while an order of the holder before may still come
 
     friend bool operator==(const lease_record &, const lease_record &) = default;
 };
@@ -191,7 +191,7 @@
     instant m_leaseUntil{};
     instant m_orderFrom{};
     std::uint64_t m_fence = 0;
-    std::optional<instant> m_lastOrder; ///< this VM's last order in this term
+    std::optional<instant> m_lastOrder; ///< this VM's last order in any term
     std::optional<std::uint64_t> m_ownRenouncedFence; ///< fence of this VM's last term, once ended
     std::optional<std::uint64_t> m_renouncedFence; ///< last fence that a peer renounced
     instant m_renouncedOrderFrom{}; ///< earliest order of a successor to that term
--- a/packages/gateway/lib/duty_lease.cpp
+++ b/packages/gateway/lib/duty_lease.cpp
@@ -23,15 +23,18 @@
     return record.holder == m_options.vm && record.incarnation == m_options.incarnation;
 }
 
-/// Time since this VM's last order or, while it still waits for its first, the part of the turn time that has passed since
-/// the previous holder's last possible order.
+/// The part of the turn time that has passed since the last order of this VM, in whichever term, and since the last possible order of
+/// the holder before it. Negative while that order may still come.
 milliseconds duty_lease::elapsedTurnTime(instant now) const
 {
+    milliseconds elapsed = m_options.minHandoverTime;
     if (now < m_orderFrom) {
-        const auto toWait = std::chrono::duration_cast<milliseconds>(m_orderFrom - now);
-        return std::max(milliseconds(0), m_options.minHandoverTime - toWait);
+        elapsed -= std::chrono::ceil<milliseconds>(m_orderFrom - now);
     }
-    return m_lastOrder ? std::chrono::duration_cast<milliseconds>(now - *m_lastOrder) : m_options.minHandoverTime;
+    if (m_lastOrder) {
+        elapsed = std::min(elapsed, std::chrono::duration_cast<milliseconds>(now - *m_lastOrder));
+    }
+    return elapsed;
 }
 
 lease_action duty_lease::append(instant now, lease_record_kind kind)
@@ -86,7 +89,6 @@
     m_leaseUntil = sentAt + m_options.lease;
     m_orderFrom = m_claimOrderFrom;
     m_observedEnd.reset();
-    m_lastOrder.reset();
     m_ownRenouncedFence.reset();
 }
 
@@ -205,10 +207,11 @@
 
 std::optional<renounced_fence> duty_lease::renounced(instant now) const
 {
-    if (!m_ownRenouncedFence) {
+    const milliseconds sinceLastOrder = elapsedTurnTime(now);
+    if (!m_ownRenouncedFence || sinceLastOrder < milliseconds(0)) {
         return std::nullopt;
     }
-    return renounced_fence{*m_ownRenouncedFence, elapsedTurnTime(now)};
+    return renounced_fence{*m_ownRenouncedFence, sinceLastOrder};
 }
 
 void duty_lease::yield(instant now)
--- a/packages/gateway/unittests/duty_lease_test.cpp
+++ b/packages/gateway/unittests/duty_lease_test.cpp
@@ -386,6 +386,30 @@
     EXPECT_LE(next - last, minHandoverTime + milliseconds(300));
 }
 
+/// Guards against a holder that forgets its last order when it claims its lapsed lease again.
+TEST(duty_lease, aReleaseTellsTheLastOrderOfAnEarlierTerm)
+{
+    lease_options options{.vm = vm_id("vm-0"), .incarnation = 1, .minHandoverTime = minHandoverTime};
+    duty_lease lease(options, start);
+    instant now = start;
+    const auto claim = [&lease, &now](std::uint64_t offset, const std::optional<lease_record> &newest) {
+        now += seconds(2);
+        ASSERT_EQ(lease.tick(now), lease_action::Read);
+        lease.onRead(now, offset, newest, offset == 0 ? 0 : offset - 1);
+        ASSERT_EQ(lease.tick(now), lease_action::Append);
+        lease.onAppended(now, offset);
+    };
+    claim(0, std::nullopt);
+    ASSERT_TRUE(lease.mayOrder(now));
+    lease.noteOrder(now);
+    claim(1, lease.nextRecord());
+    ASSERT_TRUE(lease.isHolder(now));
+    lease.release(now);
+    ASSERT_EQ(lease.tick(now), lease_action::Append);
+    EXPECT_EQ(lease.nextRecord().kind, lease_record_kind::Release);
+    EXPECT_EQ(lease.nextRecord().sinceLastOrder, milliseconds(2000));
+}
+
 RC_GTEST_PROP(duty_lease, respectsTurnTimeUnderFaults, ())
 {
     fault_rates faults;
