Test of a favoured VM: the machine decides the VMs' processor time

platform_favoured_vm was red in half its runs on this machine without load: each VM got a fixed 0.04 of a core, less than a VM uses here for its part of the requests, so the calm load was more than the VMs serve. Not the throttle: the calm part begins before any VM is favoured.

It checks as well now that the calm load is served (0.9), which the old form took for granted.

--- a/tests/cpu_quota.cpp
+++ b/tests/cpu_quota.cpp
@@ -2,7 +2,6 @@
 /// Implements the quota of processor time.
 #include "cpu_quota.h"
 
-#include <chrono>
 #include <csignal>
 #include <cstdint>
 #include <fstream>
@@ -31,11 +30,10 @@
     m_process.send(SIGCONT);
 }
 
-/// Processor time that the process has used, over all its threads.
-static std::chrono::nanoseconds usedBy(pid_t process)
+std::chrono::nanoseconds processorTimeOf(const child_process &process)
 {
     std::uint64_t used = 0;
-    std::ifstream("/proc/" + std::to_string(process) + "/schedstat") >> used;
+    std::ifstream("/proc/" + std::to_string(process.id()) + "/schedstat") >> used;
     return std::chrono::nanoseconds(used);
 }
 
@@ -44,9 +42,9 @@
     const auto budget = std::chrono::duration_cast<std::chrono::nanoseconds>(period * share);
     while (!m_isOver) {
         const auto end = steady_clock::now() + period;
-        const auto before = usedBy(m_process.id());
+        const auto before = processorTimeOf(m_process);
         while (!m_isOver && steady_clock::now() < end) {
-            if (usedBy(m_process.id()) - before >= budget) {
+            if (processorTimeOf(m_process) - before >= budget) {
                 m_process.send(SIGSTOP);
                 std::this_thread::sleep_until(end);
                 m_process.send(SIGCONT);
--- a/tests/cpu_quota.h
+++ b/tests/cpu_quota.h
@@ -6,11 +6,15 @@
 #include "child_process.h"
 
 #include <atomic>
+#include <chrono>
 #include <thread>
 
 namespace fuchsialoom
 {
 
+/// Processor time that \p process has used so far. Source: the kernel's statistics of its main thread.
+std::chrono::nanoseconds processorTimeOf(const child_process &process);
+
 class cpu_quota
 {
 public:
--- a/tests/platform_favoured_vm_test.cpp
+++ b/tests/platform_favoured_vm_test.cpp
@@ -27,9 +27,12 @@
 using std::chrono::steady_clock;
 
 constexpr std::size_t vmCount = 4;
-constexpr double shareOfCore = 0.04;
 /// Spread over the VMs, what they can serve; together more than one of them can.
-constexpr double requestsPerSecond = 800;
+constexpr double requestsPerSecond = 2400;
+/// How much processor time a VM gets, between what it needs while the requests are spread (0) and what the favoured one needs (1). The
+/// machine decides how much time both are.
+constexpr double limitBetween = 0.15;
+constexpr std::chrono::milliseconds measuringTime{2000};
 constexpr double favouredShare = 0.9;
 constexpr std::chrono::milliseconds calmTime{4000};
 constexpr std::chrono::milliseconds favouredTime{9000};
@@ -78,11 +81,38 @@
             ASSERT_TRUE(m_world.waitReady(vm));
         }
         std::this_thread::sleep_for(std::chrono::seconds(3)); // the VMs find each other
+    }
+
+    /// \return the share of a core that the busiest VM uses for the requests.
+    double busiestShare(open_loop_callers &callers)
+    {
+        std::vector<std::chrono::nanoseconds> before;
         for (const std::string &vm : m_vms) {
-            m_quotas.push_back(std::make_unique<cpu_quota>(m_world.vm(vm), shareOfCore));
+            before.push_back(processorTimeOf(m_world.vm(vm)));
         }
+        callers.run(requestsPerSecond, measuringTime, m_request);
+        std::chrono::nanoseconds most{0};
+        for (std::size_t vm = 0; vm < vmCount; ++vm) {
+            most = std::max(most, processorTimeOf(m_world.vm(m_vms[vm])) - before[vm]);
+        }
+        return std::chrono::duration<double>(most) / measuringTime;
     }
 
+    void limitProcessorTime(open_loop_callers &callers, fake_balancer &balancer)
+    {
+        const double spread = busiestShare(callers);
+        balancer.favourOne(favouredShare);
+        const double favoured = busiestShare(callers);
+        balancer.favourOne(0);
+        const double share = spread + limitBetween * (favoured - spread);
+        std::printf("a VM uses %.4f of a core, the favoured one %.4f; each gets %.4f\n", spread, favoured, share);
+        for (const std::string &vm : m_vms) {
+            m_quotas.push_back(std::make_unique<cpu_quota>(m_world.vm(vm), share));
+        }
+    }
+
+    const platform_request m_request{.path = "/get/", .model = "", .deadlineMs = 1000};
+
     platform_world m_world;
     std::vector<std::string> m_vms;
     std::vector<std::unique_ptr<cpu_quota>> m_quotas; ///< end before the VMs
@@ -99,6 +129,7 @@
         const std::scoped_lock lock(mutex);
         return balancer.choose(tried);
     });
+    limitProcessorTime(callers, balancer);
     std::atomic<bool> isOver = false;
     const steady_clock::time_point begun = steady_clock::now();
     std::thread platform([&] {
@@ -109,7 +140,7 @@
             balancer.favourOne(elapsed >= calmTime ? favouredShare : 0);
         }
     });
-    callers.run(requestsPerSecond, calmTime + favouredTime, {.path = "/get/", .model = "", .deadlineMs = 1000});
+    callers.run(requestsPerSecond, calmTime + favouredTime, m_request);
     isOver = true;
     platform.join();
     const shares before = sharesOf(callers.results(), begun + std::chrono::seconds(1), begun + calmTime);
@@ -120,6 +151,7 @@
                 favoured.read,
                 favoured.servedShare(),
                 favoured.unread);
+    EXPECT_GE(before.servedShare(), 0.9) << "the VMs can't serve what is spread over them";
     EXPECT_GT(favoured.read, 100U);
     EXPECT_GE(favoured.servedShare(), before.servedShare() * 3 / 4);
 }
