Memory: all requests and answers have one bound together

Reported by operators of systems like ours: a faulty engine sent bytes without end until the machine that had called it ran out of memory, and the requests of other clients ended with it. Here the bound of all answers was 80 MB, of bodies alone: unfinished events (1 MiB for each stream), answers that callers don't take and the bodies of requests weren't counted, and buffers grow by doubling.

byte_account counts all of them.

The bound in endless_answers_test is 32 MiB in place of 80 now.

--- a/packages/gateway/include/fuchsialoom/gateway/gateway.h
+++ b/packages/gateway/include/fuchsialoom/gateway/gateway.h
@@ -112,6 +112,7 @@
     milliseconds quotaWindow{0}; ///< in which a team may use its burst once
     milliseconds quarantineLength{600000}; ///< for which a request that crashed targets is refused
     std::uint64_t seed = 1; ///< of random choices between equally good targets
+    std::size_t mostHeldBytes = 33554432; ///< of all requests and answers together
 };
 
 struct adapter_demand
@@ -300,10 +301,10 @@
     {
         return m_openCount;
     }
-    /// Bytes kept of answers that are relayed as a whole.
-    std::size_t keptAnswerBytes() const
+    /// Counts what is held of requests and answers, here and at the links of callers.
+    const std::shared_ptr<byte_account> &heldBytes() const
     {
-        return m_answerBytes;
+        return m_heldBytes;
     }
 
 private:
@@ -428,8 +429,7 @@
     const instant m_startedAt = loopNow();
     std::size_t m_liveVms = 1;
     std::size_t m_openCount = 0;
-    std::size_t m_answerBytes = 0; ///< kept of answers that are relayed as a whole
-    std::size_t m_answerCount = 0; ///< of these answers
+    std::shared_ptr<byte_account> m_heldBytes;
     std::uint64_t m_serial = 0;
     std::mt19937_64 m_random;
     gateway_counters m_counters;
--- a/packages/gateway/lib/exchange.cpp
+++ b/packages/gateway/lib/exchange.cpp
@@ -28,12 +28,14 @@
     : m_gateway(parent)
     , m_caller(std::move(caller))
     , m_request(std::move(request))
+    , m_heldRequest(parent.m_heldBytes)
     , m_facts(parent.m_dialect.readRequest(m_request))
     , m_serial(std::to_string(++parent.m_serial))
     , m_arrivedAt(loopNow() - (passedOn ? passedOn->age : milliseconds(0)))
     , m_passedOn(passedOn)
     , m_timer(parent.m_loop)
 {
+    m_heldRequest.set(m_request.body.size());
     parent.m_openCount += 1;
     parent.m_passedOnOpen += m_passedOn ? 1 : 0;
     parent.m_counters.requests += 1;
--- a/packages/gateway/lib/exchange.h
+++ b/packages/gateway/lib/exchange.h
@@ -113,11 +113,13 @@
         instant lastEventAt{};
         instant lastByteAt{};
         std::size_t bytesSinceEvent = 0; ///< of a stream
+        held_bytes held{}; ///< of the answer
         bool isSilent = false; ///< nothing came for longer than a busy target needs
         bool usesSlot = true; ///< counted as in flight at its target
         bool isCountedRetry = false; ///< by the retry budget, at `sentAt`
     };
 
+    attempt newAttempt() const;
     /// Refuses what only a newer configuration, which another VM has, may allow. \return whether it did.
     bool refuseIfBehind();
     /// Attributes the request to the team of its key. \return whether it may go on; else it has been answered.
@@ -162,7 +164,7 @@
     void samplePace(instant now);
     void onBody(attempt &one, std::string_view bytes);
     /// Whether \p size further bytes of the answer of \p one are more than this VM keeps.
-    bool exceedsBounds(const attempt &one, std::size_t size) const;
+    bool exceedsBounds(attempt &one, std::size_t size);
     /// Events of the leading attempt.
     void onEvents(std::string_view events);
     void onComplete(attempt &one);
@@ -222,6 +224,7 @@
     gateway &m_gateway;
     std::shared_ptr<caller_link> m_caller;
     received_request m_request;
+    held_bytes m_heldRequest; ///< the body
     request_facts m_facts;
     request_id m_serial; ///< unique on this VM, unlike the caller's request id
     route m_route; ///< copied, since the configuration may change while the request is open
--- a/packages/gateway/lib/exchange_attempts.cpp
+++ b/packages/gateway/lib/exchange_attempts.cpp
@@ -18,8 +18,6 @@
 /// Largest answer that is relayed as a whole, and the largest event, with the comments and empty lines before it.
 static constexpr std::size_t maxAnswerBytes = 16777216;
 static constexpr std::size_t maxEventBytes = 1048576;
-/// For all answers that are relayed as a whole: a third of the smallest memory that VMs have. Beyond it the larger ones are given up.
-static constexpr std::size_t maxAllAnswerBytes = 83886080;
 static constexpr int statusNoRoom = 503;
 
 std::string exchange::serializeRequest(const attempt &one) const
@@ -55,13 +53,20 @@
     return bytes;
 }
 
+exchange::attempt exchange::newAttempt() const
+{
+    attempt made;
+    made.held = held_bytes(m_gateway.m_heldBytes);
+    return made;
+}
+
 void exchange::dispatch(const pool_target &target)
 {
     assert(!m_attempt);
     if (m_attemptNumber == 0) {
         m_queueTime = loopNow() - m_arrivedAt;
     }
-    m_attempt = attempt();
+    m_attempt = newAttempt();
     launch(*m_attempt, target);
 }
 
@@ -192,14 +197,11 @@
     one.relaysEvents = isStream() && head.status == 200 && facts.signedByTarget && !facts.notRun;
 }
 
-bool exchange::exceedsBounds(const attempt &one, std::size_t size) const
+bool exchange::exceedsBounds(attempt &one, std::size_t size)
 {
-    if (one.relaysEvents) {
-        return one.bytesSinceEvent + size > maxEventBytes;
-    }
-    const std::size_t whole = one.body.size() + size;
-    const std::size_t all = m_gateway.m_answerBytes + size;
-    return whole > maxAnswerBytes || (all > maxAllAnswerBytes && whole * m_gateway.m_answerCount >= all);
+    const std::size_t held = size + (one.relaysEvents ? one.bytesSinceEvent : one.body.size());
+    const bool isTooMuchInAll = one.held.set(held);
+    return isTooMuchInAll || held > (one.relaysEvents ? maxEventBytes : maxAnswerBytes);
 }
 
 void exchange::onBody(attempt &one, std::string_view bytes)
@@ -210,14 +212,13 @@
         return;
     }
     if (!one.relaysEvents) {
-        m_gateway.m_answerCount += one.body.empty() ? 1 : 0;
-        m_gateway.m_answerBytes += bytes.size();
         one.body.append(bytes);
         return;
     }
     const std::uint64_t before = one.scanner.count();
     const std::string events = one.scanner.feed(bytes);
     one.bytesSinceEvent = one.scanner.count() > before ? one.scanner.rest().size() : one.bytesSinceEvent + bytes.size();
+    one.held.set(one.bytesSinceEvent);
     if (!events.empty()) {
         settleOn(one);
         onEvents(events);
--- a/packages/gateway/lib/exchange_outcomes.cpp
+++ b/packages/gateway/lib/exchange_outcomes.cpp
@@ -150,9 +150,8 @@
 
 void exchange::release(attempt &one)
 {
-    m_gateway.m_answerCount -= one.body.empty() ? 0 : 1;
-    m_gateway.m_answerBytes -= one.body.size();
-    one.body.clear();
+    one.body = {};
+    one.held.set(0);
     if (one.peer) {
         m_gateway.m_peerChoice.end(*one.peer);
         m_gateway.m_peerLinks.release(target_id(one.peer->text()), one.link, maxIdlePerTarget);
--- a/packages/gateway/lib/exchange_peers.cpp
+++ b/packages/gateway/lib/exchange_peers.cpp
@@ -72,7 +72,7 @@
     if (m_attemptNumber == 0) {
         m_queueTime = loopNow() - m_arrivedAt;
     }
-    m_attempt = attempt();
+    m_attempt = newAttempt();
     launchAtPeer(*m_attempt, peer);
 }
 
--- a/packages/gateway/lib/exchange_silence.cpp
+++ b/packages/gateway/lib/exchange_silence.cpp
@@ -139,7 +139,7 @@
     }
     m_gateway.retryBudgetFor(m_service).countRetry(now);
     m_gateway.m_counters.retries += 1;
-    m_successor = attempt();
+    m_successor = newAttempt();
     m_successor->isCountedRetry = true;
     if (peer) {
         launchAtPeer(*m_successor, *peer);
--- a/packages/gateway/unittests/endless_answers_test.cpp
+++ b/packages/gateway/unittests/endless_answers_test.cpp
@@ -58,7 +58,7 @@
     const caller_answer answer = world.ask();
     EXPECT_EQ(answer.status, 502);
     EXPECT_TRUE(answer.complete);
-    EXPECT_EQ(world.requestPath().keptAnswerBytes(), 0U);
+    EXPECT_EQ(world.requestPath().heldBytes()->total(), 0U);
     EXPECT_EQ(world.target().received().size(), 1U);
 }
 
@@ -69,7 +69,7 @@
 TEST_F(exchange_silence_test, manyLongAnswersAtOnceStayWithinTheirBound)
 {
     static constexpr std::size_t callers = 24;
-    static constexpr std::size_t most = 83886080;
+    static constexpr std::size_t most = 33554432;
     configure(false);
     list(0, callers);
     std::vector<asio::ip::tcp::socket> sockets;
@@ -90,7 +90,7 @@
             link->sendPart(part);
         }
         runFor(milliseconds(300));
-        largest = std::max(largest, m_gateway.keptAnswerBytes());
+        largest = std::max(largest, m_gateway.heldBytes()->total());
     }
     EXPECT_LE(largest, most);
     EXPECT_GT(largest, most / 2) << "there was no need to give up any";
--- a/packages/http/include/fuchsialoom/http/caller_link.h
+++ b/packages/http/include/fuchsialoom/http/caller_link.h
@@ -4,6 +4,7 @@
 /// All calls and callbacks are on the thread of the event loop.
 #pragma once
 
+#include "fuchsialoom/http/byte_account.h"
 #include "fuchsialoom/http/request_reader.h"
 #include "fuchsialoom/support/time.h"
 
@@ -55,6 +56,9 @@
     std::function<bool()> admits{};
     /// Whether callers are asked to leave with their next answer. Empty: they aren't.
     std::function<bool()> sendsAway{};
+    /// Counts what links hold of requests that are being read and of answers that callers haven't taken; a link that holds too much
+    /// rejects the request or gives the caller up. Null: nothing is counted.
+    std::shared_ptr<byte_account> held{};
 
     bool asksToLeave() const
     {
@@ -111,7 +115,10 @@
     void sendHead(int status, const header_list &headers, std::string_view framing);
     void queue(std::string_view bytes);
     void flush();
+    void writeNext();
     void writeRest();
+    /// Counts what the caller hasn't taken yet. Gives the caller up if that is too much.
+    void countUnsent();
     /// Whether closing the socket resets the connection.
     void setResetOnClose(bool resets);
     void onAnswered();
@@ -135,6 +142,8 @@
     asio::steady_timer m_timer;
     std::shared_ptr<const caller_events> m_events;
     request_reader m_reader;
+    held_bytes m_heldRequest; ///< being read, with m_buffered
+    held_bytes m_heldAnswer; ///< unsentBytes()
     std::string m_buffered; ///< bytes after the request that is being answered; bounded by mostBuffered
     std::array<char, readBytes> m_incoming;
     std::string m_outgoing; ///< being written
--- a/packages/http/include/fuchsialoom/http/request_reader.h
+++ b/packages/http/include/fuchsialoom/http/request_reader.h
@@ -40,6 +40,7 @@
     HeadTooLarge,
     BodyTooLarge,
     TimedOut, ///< the rest didn't come in time
+    NoMemory, ///< all requests and answers together are too large
 };
 
 template<>
@@ -52,6 +53,7 @@
         {reading_problem::HeadTooLarge, "head-too-large"},
         {reading_problem::BodyTooLarge, "body-too-large"},
         {reading_problem::TimedOut, "timed-out"},
+        {reading_problem::NoMemory, "no-memory"},
     });
 };
 
@@ -85,6 +87,9 @@
     /// The head is whole, and the caller waits for leave to send the body (`Expect: 100-continue`).
     bool expectsContinue() const;
 
+    /// Bytes of the body that have come.
+    std::size_t bodyBytes() const;
+
     /// The complete request; the reader is ready for the next one.
     received_request take();
 
--- a/packages/http/lib/caller_answers.cpp
+++ b/packages/http/lib/caller_answers.cpp
@@ -147,6 +147,24 @@
 }
 
 void caller_link::flush()
+{
+    writeNext();
+    countUnsent();
+}
+
+void caller_link::countUnsent()
+{
+    if (!m_heldAnswer.set(unsentBytes()) || m_closed) {
+        return;
+    }
+    m_next = {};
+    const auto self = shared_from_this();
+    asio::post(m_socket.get_executor(), [self] {
+        self->onLost();
+    });
+}
+
+void caller_link::writeNext()
 {
     if (m_writing || m_closed || m_next.empty()) {
         return;
@@ -201,7 +219,7 @@
             return;
         }
         self->m_writing = false;
-        self->m_outgoing.clear();
+        self->m_outgoing = {};
         self->flush();
         if (self->m_closing && !self->m_writing) {
             self->linger();
--- a/packages/http/lib/caller_link.cpp
+++ b/packages/http/lib/caller_link.cpp
@@ -21,6 +21,8 @@
     , m_timer(m_socket.get_executor())
     , m_events(std::move(events))
     , m_reader(m_events->limits().request)
+    , m_heldRequest(m_events->held)
+    , m_heldAnswer(m_events->held)
     , m_waitBegan(loopNow())
     , m_waitUntil(m_waitBegan + m_events->limits().idleTimeout)
 {
@@ -81,6 +83,9 @@
     }
     m_buffered.append(bytes);
     readRequests();
+    if (m_heldRequest.set(m_buffered.size() + m_reader.bodyBytes()) && !m_answering && !m_closing && m_reader.hasStarted()) {
+        reject(reading_problem::NoMemory);
+    }
     if (m_buffered.size() <= mostBuffered) {
         read();
     }
--- a/packages/http/lib/request_reader.cpp
+++ b/packages/http/lib/request_reader.cpp
@@ -25,6 +25,8 @@
         return 413;
     case reading_problem::TimedOut:
         return 408;
+    case reading_problem::NoMemory:
+        return 503;
     case reading_problem::None:
     case reading_problem::Malformed:
     case reading_problem::AmbiguousFraming:
@@ -188,6 +190,11 @@
     return m_state->headWhole && !m_state->complete && m_state->request.headers.hasToken("Expect", "100-continue");
 }
 
+std::size_t request_reader::bodyBytes() const
+{
+    return m_state->request.body.size();
+}
+
 received_request request_reader::take()
 {
     received_request taken = std::move(m_state->request);
