Silence: a request that a successor refuses late returns to the target that was given up

Cause: the silent attempt has to be closed in time, as no two engines may work on a request, and a refusal after that found no attempt left. Two engines had the request, one of them has run nothing, so the request may return to the other without a further engine: once, as a stream that goes on, within the retry budget.

--- a/packages/gateway/include/fuchsialoom/gateway/retry_rules.h
+++ b/packages/gateway/include/fuchsialoom/gateway/retry_rules.h
@@ -36,6 +36,7 @@
 enum class retry_step {
     LeaveToOther, ///< another attempt of the request is in progress
     TryElsewhere,
+    ReturnToSilent, ///< sends it again to the target that was given up as silent
     Refuse, ///< tells the caller that the request hasn't run, and when to retry
     PassOn, ///< relays the target's answer to the caller
     Fail, ///< tells the caller that the outcome is unknown
@@ -47,6 +48,7 @@
     static constexpr auto entries = std::to_array<enum_name<retry_step>>({
         {retry_step::LeaveToOther, "leave-to-other"},
         {retry_step::TryElsewhere, "try-elsewhere"},
+        {retry_step::ReturnToSilent, "return-to-silent"},
         {retry_step::Refuse, "refuse"},
         {retry_step::PassOn, "pass-on"},
         {retry_step::Fail, "fail"},
@@ -58,6 +60,7 @@
     bool repeatable = false; ///< may run more than once
     bool mayHaveRun = false; ///< some attempt that has ended may have run, or may still run
     bool otherInProgress = false; ///< a second attempt goes on
+    bool gaveUpSilent = false; ///< a target was given up as silent, and didn't get the request again
     std::uint32_t targetsTried = 0; ///< number of targets it was sent to
     std::uint32_t attempts = 1; ///< maximum number of targets it may be sent to
     std::uint32_t connectFailures = 0; ///< attempts that failed before anything was sent
--- a/packages/gateway/include/fuchsialoom/gateway/target_pool.h
+++ b/packages/gateway/include/fuchsialoom/gateway/target_pool.h
@@ -107,6 +107,7 @@
     adapter_id adapter; ///< empty if none is used
     std::uint32_t promptTokens = 0;
     const std::set<target_id> *tried = nullptr; ///< targets to exclude, tried before; may be null
+    const target_id *only = nullptr; ///< the one target that may be chosen; any if null
     bool isFresh = false; ///< it has just arrived, at another time than the requests of other VMs
 };
 
--- a/packages/gateway/lib/exchange.cpp
+++ b/packages/gateway/lib/exchange.cpp
@@ -183,9 +183,10 @@
     }
     entry.service = m_service;
     entry.brand = brand_id(m_team.value_or(team_id()).text());
-    entry.band = bandNumber(m_streamStarted ? waiting_band::ResumedStream : m_late ? waiting_band::Late : waiting_band::OnTime);
+    const bool goesOn = m_streamStarted || m_returnsTo;
+    entry.band = bandNumber(goesOn ? waiting_band::ResumedStream : m_late ? waiting_band::Late : waiting_band::OnTime);
     entry.priority = m_route.rank;
-    entry.deadline = m_streamStarted ? m_deadlines.callerDeadline : m_deadlines.queueDeadline;
+    entry.deadline = goesOn ? m_deadlines.callerDeadline : m_deadlines.queueDeadline;
     return entry;
 }
 
@@ -204,7 +205,8 @@
     query.adapter = m_isEngine ? m_facts.adapter : adapter_id();
     query.promptTokens = m_isEngine ? m_facts.promptTokens : 0;
     // A broken stream may resume at the same engine, which is avoided for a short time instead of excluded.
-    query.tried = m_streamStarted ? nullptr : &m_triedTargets;
+    query.tried = m_streamStarted || m_returnsTo ? nullptr : &m_triedTargets;
+    query.only = m_returnsTo ? &*m_returnsTo : nullptr;
     query.isFresh = m_attemptNumber == 0 && loopNow() - m_arrivedAt < freshTime;
     return query;
 }
--- a/packages/gateway/lib/exchange.h
+++ b/packages/gateway/lib/exchange.h
@@ -247,6 +247,8 @@
     std::set<target_id> m_triedTargets;
     std::optional<attempt> m_attempt; ///< the leading one; only its answer is relayed
     std::optional<attempt> m_successor; ///< only beside m_attempt, while that is or was silent, and at another target
+    std::optional<target_id> m_givenUpSilent; ///< its attempt was closed for a successor
+    std::optional<target_id> m_returnsTo; ///< the only target that the next attempt may go to
     std::uint32_t m_attemptNumber = 0; ///< of the latest attempt
     event_scanner m_eventScanner; ///< of the attempts that have ended; see scanner()
     takeover_verdict m_takeoverVerdict = takeover_verdict::Possible; ///< as last judged in the present silence
--- a/packages/gateway/lib/exchange_outcomes.cpp
+++ b/packages/gateway/lib/exchange_outcomes.cpp
@@ -4,6 +4,8 @@
 
 #include "fuchsialoom/gateway/request_fingerprint.h"
 
+#include <utility>
+
 namespace fuchsialoom
 {
 
@@ -90,7 +92,7 @@
         m_history.connectFailures += 1;
         return;
     }
-    m_history.targetsTried += 1;
+    m_history.targetsTried += m_returnsTo == one.target ? 0 : 1;
     if (outcome == attempt_outcome::NotRun) {
         m_gateway.m_pool.avoid(now, one.target, refusalAvoidance);
         return;
@@ -121,6 +123,10 @@
     case retry_step::LeaveToOther:
         endBesideOther(one);
         return;
+    case retry_step::ReturnToSilent:
+        m_returnsTo = std::exchange(m_givenUpSilent, std::nullopt);
+        m_history.gaveUpSilent = false;
+        [[fallthrough]];
     case retry_step::TryElsewhere:
         if (outcome != attempt_outcome::NotSent && outcome != attempt_outcome::Declined) {
             budget.countRetry(now);
--- a/packages/gateway/lib/exchange_silence.cpp
+++ b/packages/gateway/lib/exchange_silence.cpp
@@ -175,6 +175,10 @@
                                      .with("heard", m_attempt->headReceived ? "yes" : "no"));
     onUnanswered(silent);
     countAttemptEnd(silent, attempt_outcome::Silent);
+    if (!silent.peer) {
+        m_givenUpSilent = silent.target;
+        m_history.gaveUpSilent = true;
+    }
     silent.link->close();
     release(silent);
 }
--- a/packages/gateway/lib/residency_controller.cpp
+++ b/packages/gateway/lib/residency_controller.cpp
@@ -280,7 +280,10 @@
     updateLeaseState();
 }
 
-void residency_controller::onLeaseRead(std::uint64_t era, std::uint64_t end, const std::optional<lease_record> &newest, std::uint64_t offset)
+void residency_controller::onLeaseRead(std::uint64_t era,
+                                       std::uint64_t end,
+                                       const std::optional<lease_record> &newest,
+                                       std::uint64_t offset)
 {
     if (!m_lease.onEra(clock(), era)) {
         m_lease.onReadFailed(clock());
--- a/packages/gateway/lib/retry_rules.cpp
+++ b/packages/gateway/lib/retry_rules.cpp
@@ -32,6 +32,10 @@
         if (attemptsLeft && budgetAllows) {
             return retry_step::TryElsewhere;
         }
+        // The successor of a silent target has refused after that was given up. It is no further target.
+        if (history.gaveUpSilent && history.repeatable && budgetAllows) {
+            return retry_step::ReturnToSilent;
+        }
         break;
     case attempt_outcome::Failed:
         return history.repeatable && attemptsLeft && budgetAllows ? retry_step::TryElsewhere : retry_step::PassOn;
--- a/packages/gateway/lib/target_choice.cpp
+++ b/packages/gateway/lib/target_choice.cpp
@@ -100,7 +100,7 @@
     const bool brittle = isBrittle(now, query.service);
     std::uint64_t state = draw;
     for (auto &[id, target] : m_targets) {
-        if (target.listed.service != query.service || (query.tried && query.tried->contains(id))) {
+        if (target.listed.service != query.service || (query.tried && query.tried->contains(id)) || (query.only && *query.only != id)) {
             continue;
         }
         if (!target.takesNew()) {
--- a/packages/gateway/unittests/duty_lease_test.cpp
+++ b/packages/gateway/unittests/duty_lease_test.cpp
@@ -345,9 +345,9 @@
             return ::testing::AssertionFailure() << "two VMs ordered under fence " << after.fence;
         }
         if (after.at - before.at < minHandoverTime) {
-            return ::testing::AssertionFailure() << "vm-" << after.vm << " ordered with fence " << after.fence << ' '
-                                                 << (after.at - before.at).count() << " us after vm-" << before.vm << " with fence "
-                                                 << before.fence << ", at " << (after.at - start).count() << " us";
+            return ::testing::AssertionFailure()
+                << "vm-" << after.vm << " ordered with fence " << after.fence << ' ' << (after.at - before.at).count() << " us after vm-"
+                << before.vm << " with fence " << before.fence << ", at " << (after.at - start).count() << " us";
         }
     }
     return ::testing::AssertionSuccess();
--- a/packages/gateway/unittests/retry_rules_test.cpp
+++ b/packages/gateway/unittests/retry_rules_test.cpp
@@ -33,6 +33,13 @@
     EXPECT_EQ(nextStep(attempt_outcome::NotRun, history(false, 1, 2), true), retry_step::TryElsewhere);
     EXPECT_EQ(nextStep(attempt_outcome::NotRun, history(false, 1, 1), true), retry_step::Refuse);
     EXPECT_EQ(nextStep(attempt_outcome::NotRun, history(false, 1, 2), false), retry_step::Refuse);
+    attempt_history gaveUp = history(true, 2, 2);
+    gaveUp.mayHaveRun = true;
+    EXPECT_EQ(nextStep(attempt_outcome::NotRun, gaveUp, true), retry_step::Fail);
+    gaveUp.gaveUpSilent = true;
+    EXPECT_EQ(nextStep(attempt_outcome::NotRun, gaveUp, true), retry_step::ReturnToSilent);
+    EXPECT_EQ(nextStep(attempt_outcome::NotRun, gaveUp, false), retry_step::Fail);
+    EXPECT_EQ(nextStep(attempt_outcome::Broken, gaveUp, true), retry_step::Fail);
 }
 
 TEST(retry_rules, passesServerErrorsOnUnlessTheRequestIsRepeatable)
