Stop: a request behind another on its connection is answered

A whole request that came behind a running one was closed without an answer: the answer before it asked the caller to leave, in a stop or where many connections are open. Asking waits now until no bytes are left of the caller's.

--- a/packages/http/lib/caller_answers.cpp
+++ b/packages/http/lib/caller_answers.cpp
@@ -48,7 +48,8 @@
 
 void caller_link::sendHead(int status, const header_list &headers, std::string_view framing)
 {
-    const bool closes = m_draining || !m_keepAlive || m_events->asksToLeave();
+    // A request that has come behind this one is answered first.
+    const bool closes = !m_keepAlive || (m_buffered.empty() && (m_draining || m_events->asksToLeave()));
     std::string head = "HTTP/1.1 " + std::to_string(status) + ' ';
     head.append(reasonOf(status)).append("\r\n");
     appendFields(head, headers);
--- a/tests/platform_stop_test.cpp
+++ b/tests/platform_stop_test.cpp
@@ -6,7 +6,9 @@
 #include <gtest/gtest.h>
 
 #include <csignal>
+#include <cstdio>
 #include <optional>
+#include <system_error>
 #include <thread>
 #include <vector>
 
@@ -119,4 +121,86 @@
     EXPECT_EQ(world.vm(vm).waitForExit(), 0);
 }
 
+/// Guards against requests that come late in a stop and are cut at its end.
+TEST(platform_stop, aLateRequestIsAnsweredWholeOrHasNotRun)
+{
+    static constexpr milliseconds runTime{1500};
+    static constexpr milliseconds between{100};
+    static constexpr int requests = 76;
+    platform_world world;
+    world.configure(1);
+    world.addTarget({.id = "p1", .service = "plain", .isEngine = false, .slots = 100, .readingTime = runTime});
+    const std::string vm = world.startVm();
+    ASSERT_TRUE(world.waitReady(vm));
+    const auto requestNumbered = [](int number) {
+        return platform_request{.path = "/post/1", .id = "late" + std::to_string(number), .model = "", .deadlineMs = 8000};
+    };
+    // Every second request comes on a connection that is open already.
+    std::vector<std::optional<asio::ip::tcp::socket>> sockets(requests);
+    for (int number = 0; number < requests; number += 2) {
+        sockets.at(static_cast<std::size_t>(number)) = world.connect(vm);
+    }
+    world.vm(vm).send(SIGTERM);
+    const steady_instant signalledAt = std::chrono::steady_clock::now();
+    std::vector<int> unsent;
+    for (int number = 0; number < requests; ++number) {
+        std::this_thread::sleep_until(signalledAt + number * between);
+        std::optional<asio::ip::tcp::socket> &socket = sockets.at(static_cast<std::size_t>(number));
+        try {
+            if (!socket) {
+                socket = world.connect(vm);
+            }
+            platform_world::sendOn(*socket, requestNumbered(number));
+        } catch (const std::system_error &) {
+            socket.reset(); // the VM took no more connections, or had closed this one
+            unsent.push_back(number);
+        }
+    }
+    int served = 0;
+    int refused = 0;
+    for (int number = 0; number < requests; ++number) {
+        std::optional<asio::ip::tcp::socket> &socket = sockets.at(static_cast<std::size_t>(number));
+        const platform_answer answer = socket ? platform_world::receive(*socket) : platform_answer();
+        const bool hasRun = world.call([&] {
+            return world.target("p1").runs().contains(requestNumbered(number).id);
+        });
+        const bool isServed = answer.status == 200 && answer.complete;
+        served += isServed ? 1 : 0;
+        refused += answer.status == 503 && answer.complete ? 1 : 0;
+        EXPECT_EQ(hasRun, isServed) << number * between.count() << " ms after the signal: " << answer.status;
+    }
+    std::printf("%d of %d served, %d refused, %zu not sent\n", served, requests, refused, unsent.size());
+    EXPECT_GT(served, 0);
+    EXPECT_GT(refused, 0);
+    EXPECT_EQ(world.vm(vm).waitForExit(), 0);
+}
+
+/// Guards against a whole request that is closed unanswered, since the answer before it asks the caller to leave.
+TEST(platform_stop, aRequestBehindAnotherOnItsConnectionIsAnswered)
+{
+    platform_world world;
+    world.configure(1);
+    world.addTarget({.id = "p1", .service = "plain", .isEngine = false, .readingTime = milliseconds(600)});
+    const std::string vm = world.startVm();
+    ASSERT_TRUE(world.waitReady(vm));
+    asio::ip::tcp::socket socket = world.send(vm, {.path = "/post/1", .id = "first", .model = ""});
+    platform_world::sendOn(socket, {.path = "/post/1", .id = "second", .model = ""});
+    ASSERT_TRUE(waitFor([&] {
+        return world.call([&] {
+            return world.target("p1").arrivals().contains("first");
+        });
+    }));
+    world.vm(vm).send(SIGTERM);
+    std::string text;
+    asio::error_code ended;
+    asio::read(socket, asio::dynamic_buffer(text), ended);
+    EXPECT_EQ(ended, asio::error::eof);
+    std::size_t answers = 0;
+    for (std::size_t at = text.find("HTTP/1.1 "); at != std::string::npos; at = text.find("HTTP/1.1 ", at + 1)) {
+        answers += 1;
+    }
+    EXPECT_EQ(answers, 2U) << text;
+    EXPECT_EQ(world.vm(vm).waitForExit(), 0);
+}
+
 } // namespace fuchsialoom
