--- a/tests/platform_memory_test.cpp
+++ b/tests/platform_memory_test.cpp
@@ -21,7 +21,7 @@
 {
 
 /// Memory of a VM in the smallest deployments.
-constexpr std::size_t memoryKb = 256 * 1024;
+constexpr std::size_t memoryKb = 262144;
 constexpr std::size_t callerCount = 240;
 constexpr std::size_t othersCount = 40;
 
