--- a/tests/platform_world.cpp
+++ b/tests/platform_world.cpp
@@ -11,7 +11,7 @@
 #include <fstream>
 #include <utility>
 
-#include <sys/time.h>
+#include <poll.h>
 
 namespace fuchsialoom
 {
@@ -142,7 +142,7 @@
                                    {"lastPort", std::stoi(made.metrics.substr(made.metrics.find(':') + 1))},
                                    {"seeds", nlohmann::json::array()},
                                    {"store", "127.0.0.1:" + std::to_string(storePort > 0 ? storePort : store.port())},
-                                   {"limits", {{"max_fds", 4096}}},
+                                   {"limits", m_limits},
                                    {"bounds", {{"lease_ms", 500}, {"grace_s", 8}}}};
     std::string text = made.settings.dump();
     if (std::exchange(m_cutsSettings, false)) {
@@ -225,6 +225,22 @@
     return endpointOf(m_vms.at(name).callers);
 }
 
+asio::ip::tcp::endpoint platform_world::peersOf(const std::string &name) const
+{
+    const nlohmann::json &settings = m_vms.at(name).settings;
+    return {asio::ip::make_address(settings["address"].get<std::string>()), settings["firstPort"].get<std::uint16_t>()};
+}
+
+asio::ip::tcp::endpoint platform_world::readinessOf(const std::string &name) const
+{
+    return endpointOf(m_vms.at(name).ready);
+}
+
+asio::ip::tcp::endpoint platform_world::metricsEndpointOf(const std::string &name) const
+{
+    return endpointOf(metricsAddressOf(name));
+}
+
 std::string platform_world::metricsAddressOf(const std::string &name) const
 {
     const std::string &reserved = m_vms.at(name).metrics;
@@ -234,7 +250,7 @@
 std::string platform_world::metricsOf(const std::string &name)
 {
     asio::ip::tcp::socket socket(m_callers);
-    socket.connect(endpointOf(metricsAddressOf(name)));
+    socket.connect(metricsEndpointOf(name));
     asio::write(socket, asio::buffer(std::string("GET /metrics HTTP/1.1\r\nHost: h\r\n\r\n")));
     return receive(socket).body;
 }
@@ -300,12 +316,15 @@
 
 platform_answer platform_world::receive(asio::ip::tcp::socket &socket)
 {
-    const timeval longest{20, 0};
-    ::setsockopt(socket.native_handle(), SOL_SOCKET, SO_RCVTIMEO, &longest, sizeof longest);
+    static constexpr int longestMs = 20000;
     answer_reader reader;
     platform_answer answer;
     std::array<char, 4096> bytes{};
     while (!answer.complete) {
+        pollfd readable{socket.native_handle(), POLLIN, 0};
+        if (::poll(&readable, 1, longestMs) <= 0) {
+            break;
+        }
         asio::error_code problem;
         const std::size_t size = socket.read_some(asio::buffer(bytes), problem);
         if (problem && problem != asio::error::eof) {
--- a/tests/platform_world.h
+++ b/tests/platform_world.h
@@ -101,6 +101,12 @@
     /// Writes the entry of the target \p id with \p state; removes it without one.
     void listTarget(const std::string &id, const std::string &state);
 
+    /// Sets the field `limits` of the settings of VMs that are started later.
+    void setLimits(nlohmann::json limits)
+    {
+        m_limits = std::move(limits);
+    }
+
     /// Starts a VM. \return its name. \p storePort: of a forwarder to the store; the store's own unless given.
     std::string startVm(const std::string &domain = "a", std::uint16_t storePort = 0);
     /// Starts a VM that reaches each target by a path of its own. \return its name.
@@ -133,6 +139,13 @@
     /// Where the VM takes connections of callers.
     asio::ip::tcp::endpoint callersOf(const std::string &name) const;
 
+    /// Where the VM listens for other VMs, readiness probes and readers of its metrics.
+    /// @{
+    asio::ip::tcp::endpoint peersOf(const std::string &name) const;
+    asio::ip::tcp::endpoint readinessOf(const std::string &name) const;
+    asio::ip::tcp::endpoint metricsEndpointOf(const std::string &name) const;
+    /// @}
+
     /// HOST:PORT of the VM's metrics.
     std::string metricsAddressOf(const std::string &name) const;
 
@@ -190,6 +203,7 @@
     std::map<std::string, path_state> m_pathStates; ///< by VM
     std::map<std::string, vm_entry> m_vms;
     nlohmann::json m_teams;
+    nlohmann::json m_limits{{"max_fds", 4096}};
     std::function<void(nlohmann::json &)> m_edit;
     std::string m_folder;
     bool m_cutsSettings = false;
