Requests: fields of a trailer are dropped

Callers could set fields of a request behind its chunked body, where neither the check of the head nor that of the framing sees them: a second Host, a deadline, an id. They were kept and not counted as well. Cause: the parser library reports fields of a trailer through the same callbacks as those of the head. They are dropped now (RFC 9110 section 6.5.1). The new test fails without the change.

--- a/packages/http/lib/request_reader.cpp
+++ b/packages/http/lib/request_reader.cpp
@@ -55,6 +55,7 @@
     received_request request;
     reading_problem problem = reading_problem::None;
 
+    bool headEnded = false; ///< further fields are those of a trailer, which are dropped: RFC 9110 section 6.5.1
     void endField()
     {
         if (!fieldName.empty()) {
@@ -228,6 +229,9 @@
             return 0;
         };
         made.on_headers_complete = [](http_parser *parser) {
+            if (reader.headEnded) {
+                return 0;
+            }
             state &reader = request_callbacks::of<state>(parser);
             reader.endField();
             reader.request.method = http_method_str(static_cast<http_method>(parser->method));
@@ -236,6 +240,9 @@
             parser->upgrade = 0;
             const header_list &headers = reader.request.headers;
             const bool isHttp11 = parser->http_major == 1 && parser->http_minor == 1;
+            if (reader.headEnded) {
+                return 0;
+            }
             reader.request.takesChunks = isHttp11;
             if (parser->http_major != 1 || parser->method == HTTP_CONNECT || headers.count("Host") != 1
                 || !reader.request.target.starts_with('/')) {
@@ -243,6 +250,7 @@
                 return -1;
             }
             if (!isUnambiguous(headers, isHttp11)) {
+            reader.headEnded = true;
                 reader.problem = reading_problem::AmbiguousFraming;
                 return -1;
             }
--- a/packages/http/unittests/request_reader_test.cpp
+++ b/packages/http/unittests/request_reader_test.cpp
@@ -58,6 +58,17 @@
     EXPECT_EQ(reader.take().target, "/2");
 }
 
+/// Guards against a caller that sets fields of its request behind the body, where no check sees them.
+TEST(request_reader, fieldsOfATrailerAreNoFieldsOfTheRequest)
+{
+    const std::string text =
+        "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\nHost: other\r\nX-Deadline-Ms: 1\r\n\r\n";
+    request_reader reader(smallLimits);
+    EXPECT_EQ(reader.consume(text), text.size());
+    ASSERT_TRUE(reader.isComplete());
+    EXPECT_EQ(reader.take().headers.fields(), (std::vector<header_field>{{"Host", "h"}, {"Transfer-Encoding", "chunked"}}));
+}
+
 TEST(request_reader, readsChunks)
 {
     const std::string text = "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2;x=y\r\nde\r\n0\r\n\r\n";
