Demand: names of models that callers of plain services send aren't kept

240 clients that sent 8 requests with new names of 60 KB each took 196 MB of a VM (test newModelNames, bound 64 MB). Cause: the demand of each name was kept for good, and told to peers while such a request was open, in digests that are not sent above 32 KB. Only an engine service's names are counted now, which the configuration bounds.

--- a/packages/gateway/lib/exchange.h
+++ b/packages/gateway/lib/exchange.h
@@ -120,6 +120,11 @@
     };
 
     attempt newAttempt() const;
+    /// The adapter whose demand includes this request, or none.
+    adapter_id countedAdapter() const
+    {
+        return m_countedModel.empty() ? adapter_id() : m_facts.adapter;
+    }
     /// Refuses what only a newer configuration, which another VM has, may allow. \return whether it did.
     bool refuseIfBehind();
     /// Attributes the request to the team of its key. \return whether it may go on; else it has been answered.
@@ -259,7 +264,9 @@
     std::uint64_t m_gapMs = 0; ///< longest gap between events
     asio::steady_timer m_timer;
     bool m_streamStarted = false; ///< the stream's head was sent to the caller
-    bool m_countedInDemand = false; ///< included in the demand of its model
+    bool m_countedInDemand = false; ///< included in the demand of m_countedModel
+    /// Empty for plain services, whose callers may send any name. Set once, since the request may be rerouted meanwhile.
+    model_id m_countedModel;
     bool m_running = false;
     bool m_hasBegun = false; ///< its targets weren't crashed by the beginning of its run
     bool m_done = false;
--- a/packages/gateway/lib/exchange_attempts.cpp
+++ b/packages/gateway/lib/exchange_attempts.cpp
@@ -106,10 +106,10 @@
     m_gateway.m_pool.begin(one.target, one.pendingPromptTokens);
     if (!m_running) {
         m_running = true;
-        model_demand &demand = m_gateway.m_demand[m_facts.model];
+        model_demand &demand = m_gateway.m_demand[m_countedModel];
         demand.running += 1;
-        if (!m_facts.adapter.empty()) {
-            demand.adapters[m_facts.adapter].running += 1;
+        if (!countedAdapter().empty()) {
+            demand.adapters[countedAdapter()].running += 1;
         }
     }
     if (m_attemptNumber > 1) {
--- a/packages/gateway/lib/gateway.cpp
+++ b/packages/gateway/lib/gateway.cpp
@@ -174,17 +174,18 @@
     const request_facts &facts = ex->facts();
     if (!ex->m_countedInDemand) {
         ex->m_countedInDemand = true;
-        model_demand &demand = m_demand[facts.model];
+        ex->m_countedModel = ex->m_isEngine ? facts.model : model_id();
+        model_demand &demand = m_demand[ex->m_countedModel];
         if (!ex->isPassedOn()) {
             // Its first VM counts it.
             retryBudgetFor(ex->m_service).countRequest(loopNow());
             demand.arrivals += 1;
         }
-        if (!facts.adapter.empty()) {
-            demand.adapters[facts.adapter].askedAt = loopNow();
+        if (!ex->countedAdapter().empty()) {
+            demand.adapters[ex->countedAdapter()].askedAt = loopNow();
         }
     }
-    m_demand[facts.model].waiting += 1;
+    m_demand[ex->m_countedModel].waiting += 1;
     m_queue.push(ex->queueEntry());
     m_queued.emplace(ex->serial(), ex);
     dispatchQueued();
@@ -194,14 +195,14 @@
 {
     m_queue.remove(ex.serial());
     if (m_queued.erase(ex.serial()) > 0) {
-        m_demand[ex.facts().model].waiting -= 1;
+        m_demand[ex.m_countedModel].waiting -= 1;
     }
     if (ex.m_running) {
         ex.m_running = false;
-        model_demand &demand = m_demand[ex.facts().model];
+        model_demand &demand = m_demand[ex.m_countedModel];
         demand.running -= 1;
-        if (!ex.facts().adapter.empty()) {
-            demand.adapters[ex.facts().adapter].running -= 1;
+        if (!ex.countedAdapter().empty()) {
+            demand.adapters[ex.countedAdapter()].running -= 1;
         }
     }
     dispatchQueued();
@@ -246,7 +247,7 @@
     if (choice.target) {
         m_queue.depart(loopNow(), ex.serial());
         const auto keptAlive = m_queued.extract(ex.serial());
-        m_demand[ex.facts().model].waiting -= 1;
+        m_demand[ex.m_countedModel].waiting -= 1;
         ex.dispatch(*choice.target);
         notifyInFlightChanged();
         return choice.verdict;
--- a/packages/gateway/lib/gateway_path.cpp
+++ b/packages/gateway/lib/gateway_path.cpp
@@ -182,7 +182,7 @@
     }
     m_queue.depart(loopNow(), ex.serial());
     const auto keptAlive = m_queued.extract(ex.serial());
-    m_demand[ex.facts().model].waiting -= 1;
+    m_demand[ex.m_countedModel].waiting -= 1;
     ex.passOn(*peer);
     return true;
 }
