Answers: framing is bounded as well as what it frames

Beside 240 answers in chunks of one byte, 6 of 40 requests of others were served: each answer was read up to its bound of 16 MiB, six times as much on the wire, a callback of the parser for each byte. Counting the wire's bytes of events alone changed nothing (9, 5 and 7 of 40): the target doesn't sign these answers, so they were read as whole ones.

--- a/packages/gateway/lib/exchange.h
+++ b/packages/gateway/lib/exchange.h
@@ -113,6 +113,7 @@
         instant lastEventAt{};
         instant lastByteAt{};
         std::size_t bytesSinceEvent = 0; ///< of a stream
+        std::size_t receivedAtEvent = 0; ///< what its link had received by its head, or by the latest event of a stream
         held_bytes held{}; ///< of the answer
         bool isSilent = false; ///< nothing came for longer than a busy target needs
         bool usesSlot = true; ///< counted as in flight at its target
@@ -172,7 +173,7 @@
     static bool isBeginning(const attempt &one, instant now);
     void samplePace(instant now);
     void onBody(attempt &one, std::string_view bytes);
-    /// Whether \p size further bytes of the answer of \p one are more than this VM keeps of one.
+    /// Whether \p size further bytes of the answer of \p one are more than this VM keeps of one, or more than it reads for an event.
     static bool exceedsBounds(const attempt &one, std::size_t size);
     /// Events of the leading attempt.
     void onEvents(std::string_view events);
--- a/packages/gateway/lib/exchange_attempts.cpp
+++ b/packages/gateway/lib/exchange_attempts.cpp
@@ -18,6 +18,8 @@
 /// Largest answer that is relayed as a whole, and the largest event, with the comments and empty lines before it.
 static constexpr std::size_t maxAnswerBytes = 16777216;
 static constexpr std::size_t maxEventBytes = 1048576;
+/// Framing of an event or a whole answer beyond its own size: very small chunks take the processor for few bytes.
+static constexpr std::size_t maxFramingBytes = 65536;
 static constexpr int statusNoRoom = 503;
 
 std::string exchange::serializeRequest(const attempt &one) const
@@ -196,6 +198,7 @@
     onHeard(one);
     one.headReceived = true;
     one.head = head;
+    one.receivedAtEvent = one.link->receivedBytes();
     const answer_facts facts = m_gateway.m_dialect.readAnswer(head, one.target);
     one.isSigned = facts.signedByTarget;
     const bool isBrittle = facts.maxTurnedAway.has_value();
@@ -215,8 +218,9 @@
 
 bool exchange::exceedsBounds(const attempt &one, std::size_t size)
 {
-    const std::size_t held = size + (one.relaysEvents ? one.bytesSinceEvent : one.body.size());
-    return held > (one.relaysEvents ? maxEventBytes : maxAnswerBytes);
+    const std::size_t body = size + (one.relaysEvents ? one.bytesSinceEvent : one.body.size());
+    const std::size_t received = one.link->receivedBytes() - one.receivedAtEvent;
+    return body > (one.relaysEvents ? maxEventBytes : maxAnswerBytes) || received > 2 * body + maxFramingBytes;
 }
 
 void exchange::onBody(attempt &one, std::string_view bytes)
@@ -233,7 +237,9 @@
     }
     const std::uint64_t before = one.scanner.count();
     const std::string events = one.scanner.feed(bytes);
-    one.bytesSinceEvent = one.scanner.count() > before ? one.scanner.rest().size() : one.bytesSinceEvent + bytes.size();
+    const bool hasEvent = one.scanner.count() > before;
+    one.bytesSinceEvent = hasEvent ? one.scanner.rest().size() : one.bytesSinceEvent + bytes.size();
+    one.receivedAtEvent = hasEvent ? one.link->receivedBytes() - one.scanner.rest().size() : one.receivedAtEvent;
     one.held.set(one.bytesSinceEvent);
     if (!events.empty()) {
         settleOn(one);
--- a/packages/http/include/fuchsialoom/http/http_link.h
+++ b/packages/http/include/fuchsialoom/http/http_link.h
@@ -92,6 +92,12 @@
         return m_idleUntil;
     }
 
+    /// Bytes of the answer that have come, with their framing; those of answers to others included.
+    std::size_t receivedBytes() const
+    {
+        return m_receivedBytes;
+    }
+
     bool wasUsed() const
     {
         return m_exchanges > 1;
@@ -133,6 +139,7 @@
     int m_dropped = 0; ///< answers to others in this exchange
     std::size_t m_droppedBytes = 0; ///< of their bodies
     std::size_t m_bodyBytes = 0; ///< of the answer
+    std::size_t m_receivedBytes = 0; ///< since the exchange began
     int m_exchanges = 0;
     instant m_connectBy = farFuture; ///< of the connection being made
     instant m_idleUntil = farFuture;
--- a/packages/http/lib/http_link.cpp
+++ b/packages/http/lib/http_link.cpp
@@ -45,6 +45,7 @@
     m_dropped = 0;
     m_droppedBytes = 0;
     m_bodyBytes = 0;
+    m_receivedBytes = 0;
     m_skipping = false;
     m_exchanges += 1;
     m_outgoing = std::move(bytes);
@@ -139,6 +140,7 @@
             return;
         }
         const answer_progress progress = m_reader.consume(bytes);
+        m_receivedBytes += progress.taken;
         bytes.remove_prefix(std::min(progress.taken, bytes.size()));
         // Whatever follows a whole answer belongs to no request of this link.
         m_tainted = m_tainted || (progress.complete && !bytes.empty());
