--- a/packages/gateway/unittests/answer_world.h
+++ b/packages/gateway/unittests/answer_world.h
@@ -3,7 +3,7 @@
 #pragma once
 
 #include "fuchsialoom/gateway/gateway.h"
-#include "fuchsialoom/http/caller_listener.h"
+#include "fuchsialoom/http/caller_link.h"
 
 #include "scripted_target.h"
 
--- a/packages/gateway/unittests/gateway_test.cpp
+++ b/packages/gateway/unittests/gateway_test.cpp
@@ -2,7 +2,7 @@
 /// Tests of the gateway with a caller and a target on loopback: deadlines are checked at the time of the send. The tests
 /// let time pass while the event loop is blocked, as on a VM that gets no CPU time.
 #include "fuchsialoom/gateway/gateway.h"
-#include "fuchsialoom/http/caller_listener.h"
+#include "fuchsialoom/http/caller_link.h"
 
 #include <gtest/gtest.h>
 
--- a/packages/http/lib/caller_listener.cpp
+++ b/packages/http/lib/caller_listener.cpp
@@ -1,6 +1,6 @@
 /// \file
 /// Accepts the connections of callers.
-#include "fuchsialoom/http/caller_listener.h"
+#include "fuchsialoom/http/caller_link.h"
 
 #include <algorithm>
 #include <utility>
--- a/packages/http/unittests/caller_world.h
+++ b/packages/http/unittests/caller_world.h
@@ -2,7 +2,7 @@
 /// A caller at a listener, for tests of either.
 #pragma once
 
-#include "fuchsialoom/http/caller_listener.h"
+#include "fuchsialoom/http/caller_link.h"
 
 #include "fuchsialoom/http/http_link.h"
 
--- a/review/common/scene.h
+++ b/review/common/scene.h
@@ -3,7 +3,7 @@
 /// All stand-ins run on one thread, all sockets are on loopback.
 #pragma once
 
-#include "fuchsialoom/http/caller_listener.h"
+#include "fuchsialoom/http/caller_link.h"
 
 #include <asio.hpp>
 #include <nlohmann/json.hpp>
