Account: requests that come one by one and run can't fill the memory

Cause: a running request can't give way, and a holder that was the only one able to was never asked, so that a single large message is served in calm. Each newcomer was such a one, and ran. Now the last one stays only while the others are within the bound: the sum is at most one message above the bound and the shares.

--- a/packages/http/include/fuchsialoom/http/byte_account.h
+++ b/packages/http/include/fuchsialoom/http/byte_account.h
@@ -18,8 +18,8 @@
 
 /// While the sum is above its bound, holders have to give way: the one with the largest product of bytes and time first, so that a
 /// client that keeps little, or keeps it briefly, outlives one that keeps much for long. It doesn't matter whether the holder that
-/// has to give way is the one that grows. A single holder never has to, so a message within its own bound is served while there is no
-/// other. Not thread-safe.
+/// has to give way is the one that grows. The only one that can stays while the others are within the bound, so a large message is
+/// served in calm, and the sum is at most one message above the bound and the shares. Not thread-safe.
 class byte_account
 {
 public:
@@ -39,7 +39,7 @@
 private:
     friend class held_bytes;
 
-    /// Asks holders to give way until the rest is within the bound, or at most one can.
+    /// Asks holders to give way until the rest is within the bound, or none is left that has to.
     void relieve();
 
     std::size_t m_most;
--- a/packages/http/lib/byte_account.cpp
+++ b/packages/http/lib/byte_account.cpp
@@ -19,11 +19,15 @@
     const auto weightOf = [now](const held_bytes *holder) {
         return static_cast<double>(holder->m_bytes) * static_cast<double>((now - holder->m_heldSince + leastAge).count());
     };
-    while (m_total - m_leaving > m_most && m_yielding.size() > 1) {
+    while (m_total - m_leaving > m_most && !m_yielding.empty()) {
         held_bytes &chosen =
             **std::max_element(m_yielding.begin(), m_yielding.end(), [&weightOf](const held_bytes *left, const held_bytes *right) {
                 return weightOf(left) < weightOf(right);
             });
+        const bool isAlone = m_yielding.size() == 1 && m_total - m_leaving - chosen.m_bytes <= m_most;
+        if (isAlone) {
+            return;
+        }
         chosen.delist();
         chosen.m_mustGiveWay = true;
         m_leaving += chosen.m_bytes;
--- a/packages/http/unittests/byte_account_test.cpp
+++ b/packages/http/unittests/byte_account_test.cpp
@@ -89,6 +89,18 @@
     EXPECT_EQ(all.total(), most / 2) << "the larger one gives way to a second one";
 }
 
+/// Guards against requests that come one by one and are sent on, which then can't give way, until the memory is full.
+TEST(byte_account, holdersThatComeOneByOneAndStopYieldingDontFillTheMemory)
+{
+    holders all;
+    for (std::size_t number = 0; number < 50; ++number) {
+        const std::size_t added = all.add(true);
+        all.set(added, 200);
+        all.at(added).stopYielding();
+    }
+    EXPECT_LE(all.total(), most + 200);
+}
+
 TEST(byte_account, aHolderThatCantGiveWayAnyMoreIsntWaitedFor)
 {
     const auto account = std::make_shared<byte_account>(most, share);
--- a/tests/hostile_clients_test.cpp
+++ b/tests/hostile_clients_test.cpp
@@ -105,6 +105,13 @@
          vm_port::Callers,
          roomyDescriptors,
          {.begin = headWith("/slow/1", "Content-Length: 983040\r\n"), .block = plain, .blocks = 15}},
+        {"wholeRequestsThatRun",
+         vm_port::Callers,
+         roomyDescriptors,
+         {.begin = headWith("/wide/1", "Content-Length: 983040\r\n"),
+          .block = plain,
+          .blocks = 15,
+          .startPause = std::chrono::milliseconds(10)}},
         {"lengthFarOverTheLimit",
          vm_port::Callers,
          roomyDescriptors,
@@ -166,7 +173,7 @@
     hostile_clients()
     {
         m_world.editConfigurations([](nlohmann::json &configuration) {
-            for (const std::string name : {"slow", "long"}) {
+            for (const std::string name : {"slow", "wide", "long"}) {
                 nlohmann::json route = configuration["routes"][2];
                 route["name"] = name;
                 route["prefix"] = "/" + name + "/";
@@ -182,6 +189,7 @@
         m_world.configure(1);
         m_world.addTarget({.id = "p1", .service = "plain", .isEngine = false, .slots = 100});
         m_world.addTarget({.id = "s1", .service = "slow", .isEngine = false, .slots = 8, .readingTime = std::chrono::seconds(1)});
+        m_world.addTarget({.id = "w1", .service = "wide", .isEngine = false, .slots = crowdSize, .readingTime = std::chrono::seconds(10)});
         m_world.addTarget({.id = "l1", .service = "long", .isEngine = false, .slots = crowdSize, .paddingBytes = 1000000});
         m_world.addTarget({.id = "e1", .service = "models", .models = {"m1"}, .events = 16, .slots = crowdSize, .paddingBytes = 65536});
     }
