--- a/review/stand-ins-2/scene.cpp
+++ b/review/stand-ins-2/scene.cpp
@@ -481,6 +481,9 @@
     for (const auto &[id, engine] : m_engines) {
         m_store.put("keyed.servers", id, engine->entry());
     }
+    for (const auto &[id, entry] : m_targets) {
+        m_store.put("keyed.servers", id, entry);
+    }
     m_beatTimer.expires_after(heartbeatInterval);
     m_beatTimer.async_wait([this](const asio::error_code &problem) {
         if (!problem) {
@@ -514,11 +517,24 @@
         {"routes", {route}},
         {"services", {{{"name", "models"}, {"health_path", "/healthz"}, {"max_conns", 250}, {"engine", engine}}}},
         {"limits", {{"max_header_bytes", 16384}, {"max_body_bytes", 4194304}, {"header_timeout_ms", 3000}, {"idle_timeout_ms", 15000}}}};
+    configure(configuration);
+}
+
+void scene::configure(const nlohmann::json &configuration)
+{
     call([&] {
         m_store.put("keyed.op", "config", configuration.dump());
     });
 }
 
+void scene::addTarget(const std::string &id, const std::string &entry)
+{
+    call([&] {
+        m_targets[id] = entry;
+        m_store.put("keyed.servers", id, entry);
+    });
+}
+
 void scene::addEngine(engine_options options)
 {
     call([&] {
@@ -538,7 +554,7 @@
     };
     const std::uint16_t store = call([this, name] {
         const auto edit = [this, name](const std::string &topic, const std::string &key, const std::string &value) {
-            if (topic != "keyed.servers" || value.empty()) {
+            if (topic != "keyed.servers" || value.empty() || !m_engines.contains(key)) {
                 return value;
             }
             std::unique_ptr<lossy_path> &path = m_paths[{name, key}];
--- a/review/stand-ins-2/scene.h
+++ b/review/stand-ins-2/scene.h
@@ -208,9 +208,18 @@
     {
         return m_record;
     }
+    /// Writes \p configuration.
+    void configure(const nlohmann::json &configuration);
     /// Writes a configuration with the models \p names, and streams at `/chat/` of the host `h.example`.
     void configure(const std::vector<std::string> &names);
     void addEngine(engine_options options);
+    /// Writes the entry of a target of the case's own, and again with each heartbeat. VMs reach it without a path between.
+    void addTarget(const std::string &id, const std::string &entry);
+    /// The event loop of the stand-ins.
+    asio::io_context &loop()
+    {
+        return m_loop;
+    }
     model_engine &engine(const std::string &id)
     {
         return *m_engines.at(id);
@@ -242,6 +251,7 @@
     fake_store m_store;
     asio::steady_timer m_beatTimer;
     std::map<std::string, std::unique_ptr<model_engine>> m_engines;
+    std::map<std::string, std::string> m_targets; ///< entries by id
     lossy_path::loss_source m_losses;
     std::map<std::pair<std::string, std::string>, std::unique_ptr<lossy_path>> m_paths; ///< by VM and engine
     std::vector<std::unique_ptr<vm_process>> m_vms;
