--- a/review/stand-ins-2/scene.cpp
+++ b/review/stand-ins-2/scene.cpp
@@ -26,7 +26,7 @@
 static constexpr std::chrono::milliseconds heartbeatInterval{1200};
 static constexpr std::chrono::milliseconds firstRetransmission{200};
 static constexpr int events = 4;
-static constexpr std::chrono::milliseconds eventPause{20};
+static constexpr std::chrono::milliseconds shortPause{20};
 static constexpr int portsOfVm = 6;
 
 static clock::time_point startOfProcess()
@@ -36,7 +36,7 @@
 }
 
 event_record::event_record(const std::string &path)
-    : m_file(path)
+    : m_file(path, std::ios::app)
 {
     startOfProcess();
 }
@@ -187,7 +187,7 @@
         caller->endStream();
         return;
     }
-    const auto timer = std::make_shared<asio::steady_timer>(loop, eventPause);
+    const auto timer = std::make_shared<asio::steady_timer>(loop, shortPause);
     timer->async_wait([&loop, caller, event, timer](const asio::error_code &) {
         sendEvents(loop, caller, event + 1);
     });
@@ -544,7 +544,7 @@
     });
 }
 
-vm_process &scene::addVm(const std::string &zone)
+vm_process &scene::addVm(const std::string &zone, const store_path &path)
 {
     const std::size_t number = m_vms.size() + 1;
     const std::string name = "vm-" + std::to_string(number);
@@ -577,8 +577,8 @@
                                   {"lastPort", m_firstPort + portsOfVm - 1},
                                   {"seeds", nlohmann::json::array()},
                                   {"heartbeatMs", heartbeatInterval.count()},
-                                  {"wholeFleetStarts", false},
-                                  {"store", "127.0.0.1:" + std::to_string(store)},
+                                  {"wholeFleetStarts", m_isFirstStart},
+                                  {"store", "127.0.0.1:" + std::to_string(path ? path(store) : store)},
                                   {"limits", {{"cpu_share", 0.25}, {"vcpus", 1}, {"ram_mb", 260}, {"max_fds", 4100}, {"net_mbps", 1000}}},
                                   {"bounds",
                                    {{"stable_ms", 3000},
--- a/review/stand-ins-2/scene.h
+++ b/review/stand-ins-2/scene.h
@@ -229,8 +229,19 @@
     {
         m_losses = std::move(losses);
     }
-    /// Starts a VM in \p zone that reaches each engine by a path of its own.
-    vm_process &addVm(const std::string &zone);
+    /// Tells later VMs that the whole fleet starts for the first time.
+    void setFirstStart()
+    {
+        m_isFirstStart = true;
+    }
+    fake_store &store()
+    {
+        return m_store;
+    }
+    /// \return the port at which a VM reaches the store that listens at the given one.
+    using store_path = std::function<std::uint16_t(std::uint16_t)>;
+    /// Starts a VM in \p zone that reaches each engine by a path of its own, and the store by \p path, if there is one.
+    vm_process &addVm(const std::string &zone, const store_path &path = {});
     vm_process &vm(const std::string &name);
     const std::vector<std::unique_ptr<vm_process>> &vms() const
     {
@@ -256,6 +267,7 @@
     std::map<std::pair<std::string, std::string>, std::unique_ptr<lossy_path>> m_paths; ///< by VM and engine
     std::vector<std::unique_ptr<vm_process>> m_vms;
     std::string m_folder;
+    bool m_isFirstStart = false;
     std::uint16_t m_firstPort = 0; ///< of six that are free at all addresses of VMs
     std::thread m_thread;
 };
