Process tests: a target on a raw socket, shared

endless_target kept its own acceptor, connections and thread. raw_target has them now, for tests of answers that no server would send. No check changed.

--- a/tests/platform_memory_test.cpp
+++ b/tests/platform_memory_test.cpp
@@ -1,6 +1,7 @@
 /// \file
 /// Targets that send bytes without end and callers that send or take much at once: what a VM holds of it, and what others get meanwhile.
 #include "platform_world.h"
+#include "raw_target.h"
 
 #include <gtest/gtest.h>
 
@@ -64,7 +65,7 @@
     {"trailer", "/chat/1", chunkedHead + "0\r\n", "X-Field: value\r\n"},
 };
 
-/// Answers each request with bytes that never end, until its connection is closed. Has a thread of its own.
+/// Answers each request with bytes that never end, until its connection is closed.
 class endless_target
 {
 public:
@@ -74,22 +75,11 @@
         while (m_block.size() < blockBytes) {
             m_block += m_place.repeated;
         }
-        accept();
-        m_thread = std::thread([this] {
-            m_loop.run();
-        });
-    }
-    endless_target(const endless_target &) = delete;
-    endless_target &operator=(const endless_target &) = delete;
-    ~endless_target()
-    {
-        m_loop.stop();
-        m_thread.join();
     }
 
     std::string address() const
     {
-        return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port());
+        return m_target.address();
     }
 
     std::size_t answersBegun() const
@@ -100,60 +90,18 @@
 private:
     static constexpr std::size_t blockBytes = 65536;
 
-    struct connection
-    {
-        explicit connection(asio::ip::tcp::socket accepted)
-            : socket(std::move(accepted))
-        {
-        }
-
-        asio::ip::tcp::socket socket;
-        std::string received{};
-        std::string begin{};
-    };
-
-    void accept()
-    {
-        m_acceptor.async_accept([this](const asio::error_code &problem, asio::ip::tcp::socket socket) {
-            if (!problem) {
-                read(std::make_shared<connection>(std::move(socket)));
-                accept();
-            }
-        });
-    }
-
-    void read(const std::shared_ptr<connection> &one)
+    void begin(const std::shared_ptr<raw_connection> &one, const std::string &id)
     {
-        asio::async_read_until(
-            one->socket, asio::dynamic_buffer(one->received), "\r\n\r\n", [this, one](const asio::error_code &problem, std::size_t) {
-                if (!problem) {
-                    begin(one);
-                }
-            });
-    }
-
-    void begin(const std::shared_ptr<connection> &one)
-    {
-        static const std::string field = "X-Request-Id: ";
-        static const std::string place = "{id}";
-        const std::size_t at = one->received.find(field);
-        if (at == std::string::npos) {
-            return; // a question of another kind
-        }
-        const std::size_t from = at + field.size();
-        one->begin = m_place.begin;
-        if (const std::size_t id = one->begin.find(place); id != std::string::npos) {
-            one->begin.replace(id, place.size(), one->received.substr(from, one->received.find('\r', from) - from));
-        }
+        one->outgoing = withRequestId(m_place.begin, id);
         m_begun += 1;
-        asio::async_write(one->socket, asio::buffer(one->begin), [this, one](const asio::error_code &problem, std::size_t) {
+        asio::async_write(one->socket, asio::buffer(one->outgoing), [this, one](const asio::error_code &problem, std::size_t) {
             if (!problem) {
                 goOn(one);
             }
         });
     }
 
-    void goOn(const std::shared_ptr<connection> &one)
+    void goOn(const std::shared_ptr<raw_connection> &one)
     {
         asio::async_write(one->socket, asio::buffer(m_block), [this, one](const asio::error_code &problem, std::size_t) {
             if (!problem) {
@@ -164,10 +112,10 @@
 
     endless_place m_place;
     std::string m_block;
-    asio::io_context m_loop;
-    asio::ip::tcp::acceptor m_acceptor{m_loop, {asio::ip::address_v4::loopback(), 0}};
     std::atomic<std::size_t> m_begun = 0;
-    std::thread m_thread;
+    raw_target m_target{[this](const std::shared_ptr<raw_connection> &one, const std::string &id) {
+        begin(one, id);
+    }};
 };
 
 class memory_scene
