http_link: a reset that the write hears of ends no answer in order

Callers got the first part of a body as a complete 200: an engine answered a long upload at once with a 200 without length, sent part of its body and reset the connection while the upload was still being written.

Cause: the system reports a reset of a socket once, to the call that asks first. When a connection is ready for writing and reading at once, Asio does the write first; write() dropped its error, expecting the read to report it as well. The read then ends as after an orderly close, and an answer without length is complete by that.

The error of the write is kept, and the end that follows is Reset. With EPIPE the server's orderly end had come before its reset, so an early answer that its server has ended in order stays whole. A connection whose write failed isn't used again. The attempt counts as one that may have run: 502, or another attempt where the request may run twice; never "not run".

--- a/packages/http/include/fuchsialoom/http/http_link.h
+++ b/packages/http/include/fuchsialoom/http/http_link.h
@@ -116,6 +116,8 @@
     void onBytes(std::string_view bytes);
     /// \p inOrder: the server closed it; else it was reset.
     void onClosed(bool inOrder);
+    /// The write was the call that heard of a reset.
+    bool writeSawReset() const;
     void handle(const answer_progress &progress);
     void endExchange();
     void fail(link_failure how);
@@ -133,6 +135,8 @@
     bool m_busy = false; ///< an exchange is under way
     bool m_sent = false; ///< a write of the exchange was begun
     bool m_writing = false;
+    /// Of the last write. The system reports a reset once: a read after it ends as if the server had closed the connection in order.
+    asio::error_code m_writeProblem;
     bool m_isHead = false;
     bool m_skipping = false; ///< the answer being read is another's
     bool m_tainted = false; ///< bytes came that belong to no request: not to be used again
--- a/packages/http/lib/http_link.cpp
+++ b/packages/http/lib/http_link.cpp
@@ -106,9 +106,10 @@
     m_sent = true;
     m_writing = true;
     const auto self = shared_from_this();
-    asio::async_write(m_socket, asio::buffer(m_outgoing), [self](const asio::error_code &, std::size_t) {
-        // A failed write shows in the read as well, after what the server may have answered before.
+    asio::async_write(m_socket, asio::buffer(m_outgoing), [self](const asio::error_code &problem, std::size_t) {
+        // The answer may have come before; the read goes on until the connection's end.
         self->m_writing = false;
+        self->m_writeProblem = problem;
         freeMemory(self->m_outgoing);
         self->m_events.outgoing.set(0);
     });
@@ -148,13 +149,19 @@
     }
 }
 
+bool http_link::writeSawReset() const
+{
+    // EPIPE: the server's orderly end came before its reset, so the answer may be whole.
+    return m_writeProblem && m_writeProblem != asio::error::broken_pipe;
+}
+
 void http_link::onClosed(bool inOrder)
 {
     if (!m_busy) {
         close();
         return;
     }
-    if (!inOrder) {
+    if (!inOrder || writeSawReset()) {
         fail(link_failure::Reset);
         return;
     }
@@ -236,7 +243,8 @@
 void http_link::endExchange()
 {
     noteIdleTime();
-    const bool open = m_reader.allowsReuse() && !m_tainted && !m_writing && !m_reader.head().headers.hasToken("Connection", "close");
+    const bool open =
+        m_reader.allowsReuse() && !m_tainted && !m_writing && !m_writeProblem && !m_reader.head().headers.hasToken("Connection", "close");
     m_busy = false;
     const link_events events = std::move(m_events);
     m_events = {};
