http: the syntax of heads and framing has one owner

request_reader checked lines and framing itself. Both move to support/http_syntax and http/body_framing, so that the reader of answers can ask the same. One change for requests: blanks behind a Content-Length or a Transfer-Encoding don't belong to the value (RFC 9110 section 5.5), so they are no ambiguous framing any more.

--- a/packages/http/lib/header_list.cpp
+++ b/packages/http/lib/header_list.cpp
@@ -3,6 +3,7 @@
 #include "fuchsialoom/http/header_list.h"
 
 #include "fuchsialoom/http/byte_account.h"
+#include "fuchsialoom/support/http_syntax.h"
 
 #include <algorithm>
 #include <array>
@@ -22,22 +23,13 @@
     });
 }
 
-static std::string_view trimmed(std::string_view text)
-{
-    const std::size_t first = text.find_first_not_of(" \t");
-    if (first == std::string_view::npos) {
-        return {};
-    }
-    return text.substr(first, text.find_last_not_of(" \t") - first + 1);
-}
-
 /// The parts of a comma-separated value.
 static std::vector<std::string_view> tokensOf(std::string_view value)
 {
     std::vector<std::string_view> tokens;
     while (!value.empty()) {
         const std::size_t comma = value.find(',');
-        tokens.push_back(trimmed(value.substr(0, comma)));
+        tokens.push_back(trimmedValue(value.substr(0, comma)));
         value = comma == std::string_view::npos ? std::string_view() : value.substr(comma + 1);
     }
     return tokens;
--- a/packages/http/lib/request_reader.cpp
+++ b/packages/http/lib/request_reader.cpp
@@ -2,7 +2,9 @@
 /// Strict reading of requests: an own check of the head's lines, then the parser library.
 #include "fuchsialoom/http/request_reader.h"
 
+#include "body_framing.h"
 #include "fuchsialoom/http/byte_account.h"
+#include "fuchsialoom/support/http_syntax.h"
 
 #include <http_parser.h>
 
@@ -78,30 +80,13 @@
 namespace
 {
 
-/// Characters of a field name, RFC 9110 section 5.6.2.
-bool isTokenCharacter(char letter)
-{
-    static constexpr std::string_view marks = "!#$%&'*+-.^_`|~";
-    return (letter >= '0' && letter <= '9') || (letter >= 'a' && letter <= 'z') || (letter >= 'A' && letter <= 'Z')
-        || marks.find(letter) != std::string_view::npos;
-}
-
-bool isControl(char letter)
-{
-    return (static_cast<unsigned char>(letter) < 0x20 && letter != '\t') || letter == 0x7f;
-}
-
 /// No bare line ends, no folded lines, no space before a colon, no control characters.
 bool isCleanLine(std::string_view line, bool first)
 {
-    if (std::any_of(line.begin(), line.end(), isControl)) {
-        return false;
-    }
     if (first) {
-        return !line.empty() && line.front() != ' ';
+        return !line.empty() && line.front() != ' ' && std::none_of(line.begin(), line.end(), isControl);
     }
-    const std::size_t colon = line.find(':');
-    return colon != std::string_view::npos && colon > 0 && std::all_of(line.begin(), line.begin() + colon, isTokenCharacter);
+    return isFieldLine(line);
 }
 
 bool isCleanHead(std::string_view head)
@@ -121,30 +106,6 @@
     return false;
 }
 
-bool isAllDigits(const std::string &text)
-{
-    return !text.empty() && text.size() < 19 && std::all_of(text.begin(), text.end(), [](char letter) {
-        return letter >= '0' && letter <= '9';
-    });
-}
-
-/// Whether every reader frames the body alike.
-bool isUnambiguous(const header_list &headers, bool isHttp11)
-{
-    const std::string *length = headers.find("Content-Length");
-    const std::string *coding = headers.find("Transfer-Encoding");
-    if (length && coding) {
-        return false;
-    }
-    if (length) {
-        return headers.count("Content-Length") == 1 && isAllDigits(*length);
-    }
-    if (coding) {
-        return isHttp11 && headers.count("Transfer-Encoding") == 1 && sameFieldName(*coding, "chunked");
-    }
-    return true;
-}
-
 } // namespace
 
 /// The callbacks of the parser library, which know the reader through its `data` pointer.
