answer_reader: a first line that is no status line is no answer

Callers got an answer with the status 000.

Cause: the parser library takes one digit or more up to 999, any version, and line ends without carriage return; the gateway sorts statuses by ranges, and 000 is in none, so it was relayed whole. answer_reader now reads a head line by line and asks for HTTP/1.x and three digits from 100 to 599 before the parser library sees it. All that http_link reads gets it: targets, other VMs, the store, orders and reports. An interim answer ends with its head whatever length it states; its bytes became part of the next answer's body.

The link fails as Malformed, with the request sent: 502, or another attempt where the request may run twice.

Red before: answer_syntax.aStatusOutsideItsRangeIsNoAnswer: seen.broken, Actual: false, Expected: true "HTTP/1.1 000 OK\r\nContent-Length: 5\r\n\r\nhello" answer_syntax.anInterimAnswerWithAnImpossibleStatusIsNoAnswer, .anotherFirstLineIsNoAnswer, .aHeadWhoseLinesEndOtherwiseIsNoAnswer, answer_reader.anInterimAnswerEndsWithItsHeadWhateverItsLength platform_broken_answers, real VM, giveTheirCallerA502/status000: got "HTTP/1.1 0 Status" with X-Answer-Stamp, expected 502 Green with the change; unusual answers that are allowed were whole before and stay so.

--- a/packages/http/include/fuchsialoom/http/answer_reader.h
+++ b/packages/http/include/fuchsialoom/http/answer_reader.h
@@ -33,6 +33,31 @@
     });
 };
 
+/// Why bytes are no answer.
+enum class answer_problem {
+    None,
+    StatusLine, ///< not of HTTP/1.x, or with a status outside 100 to 599
+    Field, ///< a line of the head isn't a field
+    HeadTooLarge,
+    Framing, ///< a body whose end readers would find at different places
+    Chunks, ///< a chunk doesn't end where it says
+    Body, ///< another problem behind the head
+};
+
+template<>
+struct name_table<answer_problem>
+{
+    static constexpr auto entries = std::to_array<enum_name<answer_problem>>({
+        {answer_problem::None, "none"},
+        {answer_problem::StatusLine, "status-line"},
+        {answer_problem::Field, "field"},
+        {answer_problem::HeadTooLarge, "head-too-large"},
+        {answer_problem::Framing, "framing"},
+        {answer_problem::Chunks, "chunks"},
+        {answer_problem::Body, "body"},
+    });
+};
+
 struct answer_head
 {
     int status = 0;
@@ -74,9 +99,11 @@
     /// Some byte of the message has come.
     bool hasStarted() const;
 
+    /// Why consume() found the message broken; None for one that only ended early.
+    answer_problem problem() const;
+
 private:
     struct state;
-    answer_progress run(const char *data, std::size_t size);
     std::unique_ptr<state> m_state;
 };
 
--- a/packages/http/unittests/answer_reader_test.cpp
+++ b/packages/http/unittests/answer_reader_test.cpp
@@ -99,6 +99,20 @@
     EXPECT_TRUE(reader.consume("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n").complete);
 }
 
+/// Guards against the bytes behind an interim answer that are taken for its body, and handed on as a part of the answer's.
+TEST(answer_reader, anInterimAnswerEndsWithItsHeadWhateverItsLength)
+{
+    for (const char *field : {"Content-Length: 5\r\n", "Transfer-Encoding: chunked\r\n"}) {
+        const std::string interim = "HTTP/1.1 103 Early Hints\r\n" + std::string(field) + "\r\n";
+        answer_reader reader;
+        const answer_progress progress = reader.consume(interim + "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+        EXPECT_TRUE(progress.complete) << field;
+        EXPECT_EQ(progress.body, "ok") << field;
+        answer_reader foreign;
+        EXPECT_TRUE(foreign.consume(interim + "5\r\nhello\r\n0\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok").broken) << field;
+    }
+}
+
 TEST(answer_reader, aHeadThatIsCutAtAnyByteIsBroken)
 {
     const std::string earlier = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
--- a/packages/support/include/fuchsialoom/support/http_syntax.h
+++ b/packages/support/include/fuchsialoom/support/http_syntax.h
@@ -19,4 +19,11 @@
 /// Whether \p line, without its line end, is one field: no folded line, no space before the colon, no control characters.
 bool isFieldLine(std::string_view line);
 
+/// Whether \p line, without its line end, is the first line of an answer of HTTP/1.x with a status from 100 to 599. The reason may be
+/// missing, with the space before it.
+bool isStatusLine(std::string_view line);
+
+/// Whether isStatusLine() may hold for a line that begins with \p beginning.
+bool mayBeStatusLine(std::string_view beginning);
+
 } // namespace fuchsialoom
--- a/tests/platform_broken_answers_test.cpp
+++ b/tests/platform_broken_answers_test.cpp
@@ -41,6 +41,8 @@
 const std::string unframedPart = "HTTP/1.1 200 OK\r\n" + signedFields + "\r\npart of the bo";
 
 const std::vector<broken_answer> brokenAnswers{
+    {"status000", "HTTP/1.1 000 OK\r\n" + signedFields + "Content-Length: 4\r\n\r\nbody"},
+    {"statusOfTwoDigits", "HTTP/1.1 20 OK\r\n" + signedFields + "Content-Length: 4\r\n\r\nbody"},
     {"resetDuringTheUpload", unframedPart, unread_end::Reset, std::chrono::milliseconds(0), longUpload},
     {"resetDuringTheUploadLater", unframedPart, unread_end::Reset, shortPause, longUpload},
     {"closedDuringTheUpload", unframedPart, unread_end::Close, std::chrono::milliseconds(0), longUpload},
