answer_reader: a line that is no field makes no answer

On other systems, an answer in whose head a field's name held a blank or a control byte reached the client. Here blanks did: the line was passed on, or the body wasn't the engine's.

Cause: Debian builds the parser library without its strict mode, where a blank is part of a name; "Content-Length : 2" framed the body and was passed on beside our own Content-Length. Folded lines were taken as well. Each line has to be a field now, as in requests. Values keep bytes over 0x7f, blanks and emptiness.

--- a/packages/gateway/unittests/answer_heads_test.cpp
+++ b/packages/gateway/unittests/answer_heads_test.cpp
@@ -1,11 +1,12 @@
 /// \file
-/// An answer whose head stops in the middle is no answer, whatever comes of it.
+/// An answer whose head stops in the middle or is broken is no answer, whatever comes of it.
 #include "answer_world.h"
 
 #include <gtest/gtest.h>
 
 #include <string>
 #include <tuple>
+#include <vector>
 
 namespace fuchsialoom
 {
@@ -18,6 +19,19 @@
 const std::string unframedHead = "HTTP/1.1 200 OK\r\nX-Id: 1\r\nServer: a\r\n\r\n";
 const std::string interimHead = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 0\r\n\r\n";
 
+const std::string behindStatus = " OK\r\nX-Id: 1\r\nContent-Length: 4\r\n\r\nbody";
+const std::string soundAnswer = "HTTP/1.1 200" + behindStatus;
+
+const std::vector<std::string> brokenAnswers{
+    "HTTP/1.1 000" + behindStatus,
+    "HTTP/1.1 20" + behindStatus,
+    "HTTP/1.1 999" + behindStatus,
+    "HTTP/2.0 200" + behindStatus,
+    "HTTP/1.1 200 OK\r\nX Field: a\r\nX-Id: 1\r\nContent-Length: 4\r\n\r\nbody",
+    "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length : 2\r\n\r\nbody",
+    "HTTP/1.1 503 No\r\nX-Id: 1\r\nX\001Field: a\r\nContent-Length: 4\r\n\r\nbody",
+};
+
 class answer_heads : public testing::TestWithParam<std::tuple<request_kind, connection_end>>
 {
 };
@@ -38,6 +52,40 @@
     }
 }
 
+/// Guards against a broken head that is passed on, and against a promise that a request which was sent hasn't run.
+TEST_P(answer_heads, brokenOnesAreRepeatedWhereAllowedAndElseGiveA502)
+{
+    const auto [kind, end] = GetParam();
+    for (const std::string &broken : brokenAnswers) {
+        answer_world world(kind, false, {{broken, end}, {soundAnswer}});
+        const caller_answer answer = world.ask();
+        const bool isRepeated = kind == request_kind::Idempotent;
+        EXPECT_EQ(answer.status, isRepeated ? 200 : 502) << broken;
+        EXPECT_EQ(answer.body, isRepeated ? "body" : "") << broken;
+        EXPECT_TRUE(answer.complete) << broken;
+        EXPECT_EQ(answer.raw.find("Field"), std::string::npos) << answer.raw;
+        EXPECT_EQ(world.target().received().size(), isRepeated ? 2U : 1U) << broken;
+        EXPECT_TRUE(world.hasFailedTarget()) << broken;
+    }
+}
+
+/// Guards against a target that loses its place by an answer that the protocol allows.
+TEST_P(answer_heads, unusualOnesArePassedOnWhole)
+{
+    const auto [kind, end] = GetParam();
+    for (const std::string first :
+         {"HTTP/1.1 200", "HTTP/1.0 200 OK", "HTTP/1.1 103 Hints\r\nLink: a\r\n\r\nHTTP/1.1 299 \xc3\xbc", "HTTP/1.1 418 "}) {
+        answer_world world(
+            kind, false, {{first + "\r\nX-Id: 1\r\nX-Field: \xc3\xbc\xff\r\nX-Empty:\r\nContent-Length: 6\r\n\r\ndata\n\n", end}});
+        const caller_answer answer = world.ask();
+        EXPECT_TRUE(answer.status == 200 || answer.status == 299 || answer.status == 418) << answer.raw;
+        EXPECT_NE(answer.raw.find("X-Field: \xc3\xbc\xff\r\nX-Empty: \r\n"), std::string::npos) << answer.raw;
+        EXPECT_EQ(answer.body, "data\n\n") << answer.raw;
+        EXPECT_TRUE(answer.complete) << answer.raw;
+        EXPECT_FALSE(world.hasFailedTarget()) << first;
+    }
+}
+
 INSTANTIATE_TEST_SUITE_P(kinds,
                          answer_heads,
                          testing::Combine(testing::Values(request_kind::Idempotent, request_kind::NonIdempotent, request_kind::Stream),
--- a/packages/http/lib/answer_reader.cpp
+++ b/packages/http/lib/answer_reader.cpp
@@ -200,6 +200,8 @@
         endHead();
     } else if (isFirst && !isStatusLine(line)) {
         fail(answer_problem::StatusLine);
+    } else if (!isFirst && !isFieldLine(line)) {
+        fail(answer_problem::Field);
     }
 }
 
--- a/packages/http/unittests/answer_syntax_test.cpp
+++ b/packages/http/unittests/answer_syntax_test.cpp
@@ -120,6 +120,39 @@
     }
 }
 
+TEST(answer_syntax, aBlankOrControlByteInAFieldNameIsNoAnswer)
+{
+    for (const char *field : {"X Field: a",
+                              "X-Field : a",
+                              " X-Field: a",
+                              "X-Field\t: a",
+                              "X\tField: a",
+                              "X\001Field: a",
+                              "X\177Field: a",
+                              "X\200Field: a",
+                              "X\"Field: a",
+                              ": a",
+                              " : a",
+                              "X-Field"}) {
+        expectNoHead(withField(field));
+    }
+    expectNoHead(withField(std::string("X\0Field: a", 10)));
+}
+
+TEST(answer_syntax, aControlByteInAValueIsNoAnswer)
+{
+    expectNoHead(withField("X-Field: a\001b"));
+    expectNoHead(withField("X-Field: a\177b"));
+    expectNoHead(withField("X-Field: a\rb"));
+    expectNoHead(withField(std::string("X-Field: a\0b", 12)));
+}
+
+TEST(answer_syntax, aFoldedLineIsNoAnswer)
+{
+    expectNoHead(withField("X-Field: a\r\n b"));
+    expectNoHead(withField("X-Field: a\r\n\tb"));
+}
+
 TEST(answer_syntax, aHeadWhoseLinesEndOtherwiseIsNoAnswer)
 {
     expectNoHead("HTTP/1.1 200 OK\nContent-Length: 5\n\nhello");
--- a/tests/platform_broken_answers_test.cpp
+++ b/tests/platform_broken_answers_test.cpp
@@ -43,6 +43,9 @@
 const std::vector<broken_answer> brokenAnswers{
     {"status000", "HTTP/1.1 000 OK\r\n" + signedFields + "Content-Length: 4\r\n\r\nbody"},
     {"statusOfTwoDigits", "HTTP/1.1 20 OK\r\n" + signedFields + "Content-Length: 4\r\n\r\nbody"},
+    {"blankInAName", "HTTP/1.1 200 OK\r\n" + signedFields + "X Field: a\r\nContent-Length: 4\r\n\r\nbody"},
+    {"blankBehindAName", "HTTP/1.1 200 OK\r\n" + signedFields + "Content-Length : 2\r\n\r\nbody"},
+    {"controlByteInAName", "HTTP/1.1 200 OK\r\n" + signedFields + "X\001Field: a\r\nContent-Length: 4\r\n\r\nbody"},
     {"resetDuringTheUpload", unframedPart, unread_end::Reset, std::chrono::milliseconds(0), longUpload},
     {"resetDuringTheUploadLater", unframedPart, unread_end::Reset, shortPause, longUpload},
     {"closedDuringTheUpload", unframedPart, unread_end::Close, std::chrono::milliseconds(0), longUpload},
