answer_reader: a body whose end is unclear makes no answer

A caller would get the coded bytes of an answer with another transfer coding than chunked, without the field that says so, or a body that ends elsewhere than another reader's.

Cause: the framing was left to the parser library, which takes an empty Content-Length as none, and other codings as an answer that ends with its connection. isUnambiguous() is asked, as for requests.

Red before: answer_syntax.aBodyWhoseEndIsUnclearIsNoAnswer, among others "Content-Length: ", "Transfer-Encoding: gzip", "chunked, identity", and chunks in HTTP/1.0. Green with the change. Found by reading; no report shows it.

--- a/packages/gateway/unittests/answer_heads_test.cpp
+++ b/packages/gateway/unittests/answer_heads_test.cpp
@@ -30,6 +30,7 @@
     "HTTP/1.1 200 OK\r\nX Field: a\r\nX-Id: 1\r\nContent-Length: 4\r\n\r\nbody",
     "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length : 2\r\n\r\nbody",
     "HTTP/1.1 503 No\r\nX-Id: 1\r\nX\001Field: a\r\nContent-Length: 4\r\n\r\nbody",
+    "HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: gzip\r\n\r\nbody",
 };
 
 class answer_heads : public testing::TestWithParam<std::tuple<request_kind, connection_end>>
--- a/packages/http/lib/answer_reader.cpp
+++ b/packages/http/lib/answer_reader.cpp
@@ -1,7 +1,8 @@
 /// \file
-/// Strict reading of answers: an own check of the head's lines, then the parser library.
+/// Strict reading of answers: an own check of the head's lines and of the framing, then the parser library.
 #include "fuchsialoom/http/answer_reader.h"
 
+#include "body_framing.h"
 #include "fuchsialoom/http/byte_account.h"
 #include "fuchsialoom/support/http_syntax.h"
 
@@ -259,6 +260,10 @@
                 self.head = {};
                 return skipBody;
             }
+            if (!isUnambiguous(self.head.headers, parser->http_minor > 0)) {
+                self.fail(answer_problem::Framing);
+                return -1;
+            }
             self.head.status = parser->status_code;
             self.head.framing = self.framing();
             self.headWhole = true;
--- a/packages/http/unittests/answer_syntax_test.cpp
+++ b/packages/http/unittests/answer_syntax_test.cpp
@@ -161,6 +161,32 @@
     expectNoHead("HTTP/1.1 200 OK\rXContent-Length: 5\r\n\r\nhello");
 }
 
+TEST(answer_syntax, aBodyWhoseEndIsUnclearIsNoAnswer)
+{
+    for (const char *fields : {"Content-Length : 5",
+                               "Content-Length: ",
+                               "Content-Length: +5",
+                               "Content-Length: -5",
+                               "Content-Length: 5 5",
+                               "Content-Length: 5, 5",
+                               "Content-Length: 0x5",
+                               "Content-Length: 99999999999999999999",
+                               "Content-Length: 5\r\nContent-Length: 5",
+                               "Content-Length: 5\r\nContent-Length: 6",
+                               "Content-Length: 5\r\nTransfer-Encoding: chunked",
+                               "Transfer-Encoding: chunked\r\nContent-Length: 5",
+                               "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
+                               "Transfer-Encoding : chunked",
+                               "Transfer-Encoding: gzip",
+                               "Transfer-Encoding: gzip, chunked",
+                               "Transfer-Encoding: chunked, identity",
+                               "Transfer-Encoding: xchunked",
+                               "Transfer-Encoding: "}) {
+        expectNoHead("HTTP/1.1 200 OK\r\n" + std::string(fields) + "\r\n\r\nhello");
+    }
+    expectNoHead("HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n");
+}
+
 /// Guards against a check that gives up unusual answers of sound targets.
 TEST(answer_syntax, unusualAnswersThatAreAllowedAreWhole)
 {
