answer_reader: a chunk that doesn't end where it says makes no answer

A caller would get a body of chunks whose sizes are wrong as a whole one.

Cause: without its strict mode, the parser library takes any two bytes for the end of a chunk's data, and any byte for a line feed behind a carriage return. chunk_syntax follows the framing and refuses the first byte that is out of place. Extensions and trailers stay allowed.

Red before: answer_syntax.aChunkThatDoesNotEndWhereItSaysIsNoAnswer, e.g. "5\r\nhelloXX0\r\n\r\n". Green with the change. Chunks of requests are still read leniently: they are framed anew on their way.

--- a/packages/http/lib/answer_reader.cpp
+++ b/packages/http/lib/answer_reader.cpp
@@ -42,6 +42,7 @@
     std::size_t lineAt = 0; ///< where its last line begins
     std::string fieldName;
     std::string fieldValue;
+    chunk_syntax chunks;
     answer_head head;
     answer_progress progress; ///< of the call under way
 
@@ -219,6 +220,10 @@
 
 std::size_t answer_reader::state::readBody(std::string_view bytes)
 {
+    if (head.framing == answer_framing::Chunks && !chunks.accepts(bytes)) {
+        fail(answer_problem::Chunks);
+        return bytes.size();
+    }
     const std::size_t taken = parse(bytes.data(), bytes.size());
     if (parserFailed()) {
         fail(answer_problem::Body);
--- a/packages/http/unittests/answer_syntax_test.cpp
+++ b/packages/http/unittests/answer_syntax_test.cpp
@@ -187,6 +187,31 @@
     expectNoHead("HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n");
 }
 
+TEST(answer_syntax, aChunkThatDoesNotEndWhereItSaysIsNoAnswer)
+{
+    for (const char *body : {"5\r\nhelloXX0\r\n\r\n",
+                             "5\r\nhello\rX0\r\n\r\n",
+                             "5\r\nhello\n\n0\r\n\r\n",
+                             "5\rXhello\r\n0\r\n\r\n",
+                             "5\nhello\r\n0\r\n\r\n",
+                             "5\r\nhello\r\n0\rX\r\n",
+                             "5\r\nhello\r\n0\r\n\rX",
+                             "5\r\nhello\r\n0\r\nXX",
+                             "\r\n5\r\nhello\r\n0\r\n\r\n",
+                             "-5\r\nhello\r\n0\r\n\r\n",
+                             "5x\r\nhello\r\n0\r\n\r\n",
+                             "5 5\r\nhello\r\n0\r\n\r\n",
+                             "5;a\x01\r\nhello\r\n0\r\n\r\n",
+                             "fffffffffffffffff\r\nhello\r\n0\r\n\r\n",
+                             "5\r\nhello\r\n0\r\nX Trailer: a\r\n\r\n",
+                             "5\r\nhello\r\n0\r\nX-Trailer : a\r\n\r\n",
+                             "5\r\nhello\r\n0\r\n: a\r\n\r\n",
+                             "5\r\nhello\r\n0\r\nX-Trailer: a\rb\r\n\r\n",
+                             "5\r\nhello\r\n0\r\nX-Trailer: a\n\r\n"}) {
+        expectBroken(chunked(body));
+    }
+}
+
 /// Guards against a check that gives up unusual answers of sound targets.
 TEST(answer_syntax, unusualAnswersThatAreAllowedAreWhole)
 {
