answer_reader: a 204 or 304 ends with its head

A 304 with the length of what it stands for, which is allowed, and a 204 with one waited for a body that never comes, until the request's time was over.

Cause: the parser library was told to skip the body for HEAD only.

Red before: answer_reader.anAnswerThatHasNoBodyEndsWithItsHeadWhateverItsLength. Green with the change. Found by reading; no report shows it.

--- a/packages/http/lib/answer_reader.cpp
+++ b/packages/http/lib/answer_reader.cpp
@@ -273,7 +273,7 @@
             self.head.framing = self.framing();
             self.headWhole = true;
             self.progress.headCame = true;
-            return self.toHead ? skipBody : 0;
+            return self.head.framing == answer_framing::Bodiless ? skipBody : 0;
         };
         made.on_body = [](http_parser *parser, const char *at, std::size_t length) {
             static_cast<state *>(parser->data)->progress.body.append(at, length);
--- a/packages/http/unittests/answer_reader_test.cpp
+++ b/packages/http/unittests/answer_reader_test.cpp
@@ -99,6 +99,19 @@
     EXPECT_TRUE(reader.consume("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n").complete);
 }
 
+/// Guards against a wait for a body that never comes.
+TEST(answer_reader, anAnswerThatHasNoBodyEndsWithItsHeadWhateverItsLength)
+{
+    for (const char *first : {"HTTP/1.1 304 Not Modified\r\nContent-Length: 5\r\n",
+                              "HTTP/1.1 204 No Content\r\nContent-Length: 5\r\n",
+                              "HTTP/1.1 204 No Content\r\nTransfer-Encoding: chunked\r\n"}) {
+        answer_reader reader;
+        const answer_progress progress = reader.consume(std::string(first) + "\r\n");
+        EXPECT_TRUE(progress.complete) << first;
+        EXPECT_EQ(reader.head().framing, answer_framing::Bodiless) << first;
+    }
+}
+
 /// Guards against the bytes behind an interim answer that are taken for its body, and handed on as a part of the answer's.
 TEST(answer_reader, anInterimAnswerEndsWithItsHeadWhateverItsLength)
 {
