engine_client: a call whose head is broken is lost

The own protocol's calls had the same fault as the users' platform: httplib takes any three digits for a status and any text for a field's name, and the answer was handed on.

Red before: engine_client.aCallWhoseHeadIsBrokenIsLost, got Completed, expected Lost, for 000, 600, a blank in and behind a name and a control byte. Green with the change. Handled before: two digits (the call fails), a call without framing that is reset (.aCallWithoutFramingThatIsResetIsLost), heads cut at any byte. The other readers of httplib's answers compare the status with the ones that they know and hand no head on.

--- a/packages/wire/lib/engine_client.cpp
+++ b/packages/wire/lib/engine_client.cpp
@@ -2,6 +2,7 @@
 /// A target as the request path meets it, over HTTP.
 #include "fuchsialoom/wire/engine_client.h"
 
+#include "fuchsialoom/support/http_syntax.h"
 #include "http_client.h"
 
 #include <nlohmann/json.hpp>
@@ -43,6 +44,17 @@
     }
 }
 
+/// httplib takes any three digits for a status, and any text for the name of a field.
+static bool isSoundHead(const httplib::Response &answer)
+{
+    static constexpr int firstStatus = 200;
+    static constexpr int lastStatus = 599;
+    return answer.status >= firstStatus && answer.status <= lastStatus
+        && std::all_of(answer.headers.begin(), answer.headers.end(), [](const auto &field) {
+               return isFieldName(field.first);
+           });
+}
+
 static bool saysNotRun(const std::string &answer)
 {
     const json body = json::parse(answer, nullptr, false);
@@ -262,6 +274,9 @@
         const attempt_end end = endOf(answer.error());
         return plain_answer{late && end != attempt_end::NotSent ? attempt_end::DeadlinePassed : end, 0, {}, {}};
     }
+    if (!isSoundHead(*answer)) {
+        return plain_answer{attempt_end::Lost, 0, {}, {}};
+    }
     const bool refused = answer->status >= 500 && saysNotRun(body);
     return plain_answer{refused ? attempt_end::Refused : attempt_end::Completed,
                         static_cast<std::uint32_t>(answer->status),
--- a/packages/wire/unittests/engine_client_test.cpp
+++ b/packages/wire/unittests/engine_client_test.cpp
@@ -284,6 +284,27 @@
     }
 }
 
+/// Guards against a status outside its range, and against a field name that frames the body for some readers only.
+TEST(engine_client, aCallWhoseHeadIsBrokenIsLost)
+{
+    target_request request;
+    request.body = "body";
+    const std::string rest = " OK\r\nContent-Length: 4\r\n\r\nbody";
+    for (const std::string &bytes : {"HTTP/1.1 000" + rest,
+                                     "HTTP/1.1 600" + rest,
+                                     "HTTP/1.1 20" + rest,
+                                     std::string("HTTP/1.1 200 OK\r\nX Field: a\r\nContent-Length: 4\r\n\r\nbody"),
+                                     std::string("HTTP/1.1 200 OK\r\nX\001Field: a\r\nContent-Length: 4\r\n\r\nbody"),
+                                     std::string("HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\nbody")}) {
+        const one_answer_target target(bytes, false);
+        EXPECT_EQ(target.client().call(service_id("s"), request, deadlineIn(longTime)).end, attempt_end::Lost) << bytes;
+    }
+    for (const std::string line : {"HTTP/1.1 299 OK", "HTTP/1.1 404 ", "HTTP/1.1 599 OK\r\nX-Field: \xc3\xbc"}) {
+        const one_answer_target target(line + "\r\nContent-Length: 4\r\n\r\nbody", false);
+        EXPECT_EQ(target.client().call(service_id("s"), request, deadlineIn(longTime)).end, attempt_end::Completed) << line;
+    }
+}
+
 TEST(engine_client, aStreamWithoutFramingIsWholeByItsFinishOnly)
 {
     const std::string head = "HTTP/1.1 200 OK\r\n\r\n" + tokenEvent("r", 0);
