--- a/packages/http/include/fuchsialoom/http/http_link.h
+++ b/packages/http/include/fuchsialoom/http/http_link.h
@@ -98,6 +98,12 @@
         return m_receivedBytes;
     }
 
+    /// What made the answer Malformed; None otherwise.
+    answer_problem answerProblem() const
+    {
+        return m_reader.problem();
+    }
+
     bool wasUsed() const
     {
         return m_exchanges > 1;
