--- a/packages/http/unittests/early_answer_test.cpp
+++ b/packages/http/unittests/early_answer_test.cpp
@@ -1,12 +1,12 @@
 /// \file
 /// Answers that come while the request is still being written: the end of the connection says whether they are whole.
-#include "fuchsialoom/http/http_link.h"
+#include "link_outcome.h"
 
 #include <gtest/gtest.h>
 
 #include <atomic>
-#include <functional>
-#include <optional>
+#include <memory>
+#include <string>
 #include <thread>
 
 namespace fuchsialoom
@@ -78,19 +78,9 @@
     std::jthread m_thread; ///< destroyed first
 };
 
-/// What came of the upload.
-struct upload_outcome
+struct upload_outcome : link_outcome
 {
-    std::string body;
-    bool complete = false;
-    std::optional<link_failure> failure;
-    bool sent = false;
-    bool isReusable = false;
-
-    bool isOver() const
-    {
-        return complete || failure;
-    }
+    bool isReusable = false; ///< the connection, once the exchange is over
 };
 
 /// Whether the process hears the server at once, or only after all that the server does.
@@ -107,19 +97,8 @@
     asio::io_context loop;
     const auto link = std::make_shared<http_link>(loop, server.address());
     upload_outcome seen;
-    link_events events;
-    events.onBody = [&seen](std::string_view bytes) {
-        seen.body.append(bytes);
-    };
-    events.onComplete = [&seen] {
-        seen.complete = true;
-    };
-    events.onFailure = [&seen](link_failure how, bool sent) {
-        seen.failure = how;
-        seen.sent = sent;
-    };
     const std::string head = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(uploadBytes) + "\r\n\r\n";
-    link->send(head + std::string(uploadBytes, 'x'), false, loopNow() + milliseconds(500), std::move(events));
+    link->send(head + std::string(uploadBytes, 'x'), false, loopNow() + milliseconds(500), eventsInto(seen));
     if (when == listening::Late) {
         // Connects, and writes what the sockets take.
         loop.run_one();
--- a/packages/http/unittests/http_link_test.cpp
+++ b/packages/http/unittests/http_link_test.cpp
@@ -3,6 +3,7 @@
 /// byte more.
 #include "fuchsialoom/http/http_link.h"
 
+#include "link_outcome.h"
 #include "scripted_server.h"
 
 #include <gtest/gtest.h>
@@ -15,21 +16,6 @@
 namespace
 {
 
-/// What came of one exchange.
-struct outcome_seen
-{
-    answer_head head;
-    std::string body;
-    bool complete = false;
-    std::optional<link_failure> failure;
-    bool sent = false;
-
-    bool isOver() const
-    {
-        return complete || failure;
-    }
-};
-
 class http_link_test : public testing::Test
 {
 protected:
@@ -39,27 +25,14 @@
         m_loop.run_for(length);
     }
 
-    outcome_seen ask(const std::shared_ptr<http_link> &link, const std::string &id = "1")
+    link_outcome ask(const std::shared_ptr<http_link> &link, const std::string &id = "1")
     {
-        outcome_seen seen;
-        link_events events;
+        link_outcome seen;
+        link_events events = eventsInto(seen);
         events.isMine = [id](const answer_head &head) {
             const std::string *named = head.headers.find("X-Id");
             return named && *named == id;
         };
-        events.onHead = [&seen](const answer_head &head) {
-            seen.head = head;
-        };
-        events.onBody = [&seen](std::string_view bytes) {
-            seen.body.append(bytes);
-        };
-        events.onComplete = [&seen] {
-            seen.complete = true;
-        };
-        events.onFailure = [&seen](link_failure how, bool sent) {
-            seen.failure = how;
-            seen.sent = sent;
-        };
         link->send("GET / HTTP/1.1\r\nHost: h\r\n\r\n", false, loopNow() + milliseconds(500), std::move(events));
         for (int turn = 0; turn < 100 && !seen.isOver(); ++turn) {
             runFor(milliseconds(10));
@@ -96,7 +69,7 @@
 {
     scripted_server server(m_loop, {{answer("1", "a") + "x"}});
     const auto link = linkTo(server);
-    const outcome_seen seen = ask(link);
+    const link_outcome seen = ask(link);
     EXPECT_TRUE(seen.complete);
     EXPECT_EQ(seen.body, "a");
     EXPECT_FALSE(link->isReusable());
@@ -115,7 +88,7 @@
 {
     scripted_server server(m_loop, {{answer("0", "theirs") + answer("1", "ours")}});
     const auto link = linkTo(server);
-    const outcome_seen seen = ask(link);
+    const link_outcome seen = ask(link);
     EXPECT_TRUE(seen.complete);
     EXPECT_EQ(seen.body, "ours");
     EXPECT_FALSE(link->isReusable());
@@ -124,7 +97,7 @@
 TEST_F(http_link_test, onlyAnswersToOthersAreAFailure)
 {
     scripted_server server(m_loop, {{answer("0", "a") + answer("0", "b") + answer("0", "c")}});
-    const outcome_seen seen = ask(linkTo(server));
+    const link_outcome seen = ask(linkTo(server));
     EXPECT_EQ(seen.failure, link_failure::WrongAnswer);
     EXPECT_TRUE(seen.sent);
     EXPECT_TRUE(seen.body.empty());
@@ -136,7 +109,7 @@
     scripted_server closing(m_loop, {{unframed, scripted_step::end::Close}});
     EXPECT_TRUE(ask(linkTo(closing)).complete);
     scripted_server resetting(m_loop, {{unframed, scripted_step::end::Reset}});
-    const outcome_seen seen = ask(linkTo(resetting));
+    const link_outcome seen = ask(linkTo(resetting));
     EXPECT_FALSE(seen.complete);
     EXPECT_EQ(seen.failure, link_failure::Reset);
 }
@@ -144,7 +117,7 @@
 TEST_F(http_link_test, aResetInTheMiddleIsAFailure)
 {
     scripted_server server(m_loop, {{"HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 9\r\n\r\nabc", scripted_step::end::Reset}});
-    const outcome_seen seen = ask(linkTo(server));
+    const link_outcome seen = ask(linkTo(server));
     ASSERT_TRUE(seen.failure);
     EXPECT_EQ(*seen.failure, link_failure::Reset);
     EXPECT_TRUE(seen.sent);
@@ -176,7 +149,7 @@
         const scripted_server server(m_loop, {{""}});
         nobody = server.address();
     }
-    const outcome_seen seen = ask(std::make_shared<http_link>(m_loop, nobody));
+    const link_outcome seen = ask(std::make_shared<http_link>(m_loop, nobody));
     EXPECT_EQ(seen.failure, link_failure::Refused);
     EXPECT_FALSE(seen.sent);
 }
@@ -185,17 +158,9 @@
 {
     scripted_server server(m_loop, {{answer("1", "a")}});
     const auto link = linkTo(server);
-    outcome_seen seen;
-    link_events events;
-    events.onComplete = [&seen] {
-        seen.complete = true;
-    };
-    events.onFailure = [&seen](link_failure how, bool sent) {
-        seen.failure = how;
-        seen.sent = sent;
-    };
+    link_outcome seen;
     const instant connectBy = loopNow() + milliseconds(20);
-    link->send("GET / HTTP/1.1\r\nHost: h\r\n\r\n", false, connectBy, std::move(events));
+    link->send("GET / HTTP/1.1\r\nHost: h\r\n\r\n", false, connectBy, eventsInto(seen));
     // The connection is made meanwhile, by the kernel: the process stands still until its time is over.
     std::this_thread::sleep_until(std::chrono::steady_clock::time_point((connectBy + milliseconds(20)).time_since_epoch()));
     runFor(milliseconds(100));
@@ -208,20 +173,13 @@
 {
     scripted_server server(m_loop, {{answer("1", "early")}});
     const auto link = linkTo(server);
-    outcome_seen seen;
-    link_events events;
-    events.onBody = [&seen](std::string_view bytes) {
-        seen.body.append(bytes);
-    };
-    events.onComplete = [&seen] {
-        seen.complete = true;
-    };
+    link_outcome seen;
     // More than the sockets hold, so that the answer comes while the rest is still to be written.
     const std::string body(32 << 20, 'x');
     link->send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body,
                false,
                loopNow() + milliseconds(500),
-               std::move(events));
+               eventsInto(seen));
     for (int turn = 0; turn < 200 && !seen.complete; ++turn) {
         m_loop.restart();
         m_loop.run_one_for(milliseconds(10));
