http_link: the end of a read waits for what the write saw

Beside load, callers still got the first part of a body as a whole 200: the reset came right behind the part.

Cause: the write's attempt at the socket takes the reset, and its completion is queued behind an event of the same socket that was queued before. The read of that event sees the end first, while nothing is known of the write.

If a write is under way, the end is judged one turn of the queue later; by then a completion that took the reset has run. A write that is still pending says that the server has ended its side in order.

The stand-in that closes with bytes unread now waits until there are some.

--- a/packages/http/include/fuchsialoom/http/http_link.h
+++ b/packages/http/include/fuchsialoom/http/http_link.h
@@ -120,6 +120,8 @@
     void write();
     void read();
     void onBytes(std::string_view bytes);
+    /// \p inOrder: the read saw an orderly end. Judges it once it is known what the write saw.
+    void onReadEnd(bool inOrder);
     /// \p inOrder: the server closed it; else it was reset.
     void onClosed(bool inOrder);
     /// The write was the call that heard of a reset.
--- a/packages/http/lib/http_link.cpp
+++ b/packages/http/lib/http_link.cpp
@@ -123,7 +123,7 @@
             return;
         }
         if (problem) {
-            self->onClosed(problem == asio::error::eof);
+            self->onReadEnd(problem == asio::error::eof);
             return;
         }
         self->onBytes(std::string_view(self->m_incoming.data(), size));
@@ -149,6 +149,21 @@
     }
 }
 
+void http_link::onReadEnd(bool inOrder)
+{
+    if (!m_writing) {
+        onClosed(inOrder);
+        return;
+    }
+    // If the write took the reset from the system, its completion is queued by now.
+    const auto self = shared_from_this();
+    asio::post(m_socket.get_executor(), [self, inOrder] {
+        if (!self->m_closed) {
+            self->onClosed(inOrder);
+        }
+    });
+}
+
 bool http_link::writeSawReset() const
 {
     // EPIPE: the server's orderly end came before its reset, so the answer may be whole.
--- a/tests/platform_broken_answers_test.cpp
+++ b/tests/platform_broken_answers_test.cpp
@@ -80,6 +80,9 @@
         const auto timer = std::make_shared<asio::steady_timer>(one->socket.get_executor(), m_answer.pause);
         timer->async_wait([this, one, timer](const asio::error_code &) {
             asio::error_code failed;
+            if (m_answer.end == unread_end::Close) {
+                one->socket.wait(asio::ip::tcp::socket::wait_read, failed); // until bytes are unread
+            }
             if (m_answer.end == unread_end::Reset) {
                 one->socket.set_option(asio::socket_base::linger(true, 0), failed);
             }
